--- /dev/null
+++ b/coordination/src/main/java/org/sardineshunt/coordination/Rendezvous.java
@@ -0,0 +1,47 @@
+package org.sardineshunt.coordination;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Chooses the same few candidates on every node without messages (highest random weight hashing).
+ *
+ * <p>When a candidate leaves, only the keys that it had move.
+ */
+public final class Rendezvous {
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    private Rendezvous() {}
+
+    /**
+     * Returns the candidates with the highest weights for a key, best first.
+     *
+     * @param count at most this many
+     */
+    public static List<String> choose(String key, Collection<String> candidates, int count) {
+        return candidates.stream()
+                .sorted(Comparator.comparingLong((String candidate) -> hash(key + '\n' + candidate))
+                        .reversed()
+                        .thenComparing(Comparator.naturalOrder()))
+                .limit(count)
+                .toList();
+    }
+
+    /** Returns a well-mixed 64-bit hash of a text, the same on every machine. */
+    public static long hash(String text) {
+        long hash = FNV_OFFSET;
+        for (int index = 0; index < text.length(); index++) {
+            hash = (hash ^ text.charAt(index)) * FNV_PRIME;
+        }
+        return mix(hash);
+    }
+
+    /** Returns a well-mixed 64-bit value of a 64-bit value. */
+    public static long mix(long value) {
+        long mixed = (value ^ (value >>> 33)) * 0xff51afd7ed558ccdL;
+        mixed = (mixed ^ (mixed >>> 33)) * 0xc4ceb9fe1a85ec53L;
+        return mixed ^ (mixed >>> 33);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/sardineshunt/coordination/Verdict.java
@@ -0,0 +1,37 @@
+package org.sardineshunt.coordination;
+
+/**
+ * Says whether the work of a request may have run.
+ *
+ * <pre>{@code
+ * if (verdict.allowsRetry(request.idempotent())) { ... }
+ * }</pre>
+ */
+public enum Verdict {
+    /** Proved: no backend server ran the request, and none will run this attempt of it. */
+    NOT_RUN("not-run"),
+    /** A backend server may have run the request, or may still run it. */
+    MAY_HAVE_RUN("may-have-run"),
+    /** A backend server ran the request and its whole answer is known. */
+    RAN("ran");
+
+    private final String label;
+
+    Verdict(String label) {
+        this.label = label;
+    }
+
+    /** Returns the name that callers see. */
+    public String label() {
+        return label;
+    }
+
+    /**
+     * Returns whether a further attempt can't run the work of a non-idempotent request twice.
+     *
+     * @param idempotent whether running the request twice is harmless
+     */
+    public boolean allowsRetry(boolean idempotent) {
+        return this == NOT_RUN || this == MAY_HAVE_RUN && idempotent;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/sardineshunt/coordination/health/UpstreamHealth.java
@@ -0,0 +1,172 @@
+package org.sardineshunt.coordination.health;
+
+import java.util.Arrays;
+import java.util.Objects;
+
+import org.sardineshunt.coordination.rotation.Condition;
+
+/**
+ * Judges one upstream by the outcome of its real work.
+ *
+ * <pre>{@code
+ * UpstreamHealth health = new UpstreamHealth(HealthPolicy.builder().build());
+ * health.record(nowMillis, Outcome.SUCCESS, latencyMillis);
+ * Condition condition = health.condition(nowMillis);
+ * }</pre>
+ *
+ * <p>Two cumulative sums of log-likelihood ratios are kept, one of failures and one of slow requests, against the usual
+ * share of the group. A sum rises with each bad request, falls with each good one and is never below zero; crossing the
+ * policy's score ejects. After the ejection time the upstream is on trial until it has answered enough requests without
+ * a bad one. Relapses lengthen the next ejection, so an upstream that flaps returns at most twice a minute. Not
+ * thread-safe.
+ */
+public final class UpstreamHealth {
+    private static final int LATENCY_WINDOW = 64;
+    private static final double USUAL_SLOW_SHARE = 0.02;
+    private static final double UNHEALTHY_SLOW_SHARE = 0.5;
+    private static final double HIGHEST_ASSUMED_SHARE = 0.95;
+    private static final double GROUP_FAILURE_FACTOR = 3;
+    private static final double SAMPLE_DECAY = 0.5;
+    private static final int SEVERITY_STEPS = 4;
+
+    private final HealthPolicy policy;
+    private final double[] latencies = new double[LATENCY_WINDOW];
+    private Baseline baseline = Baseline.UNKNOWN;
+    private int latencyCount;
+    private double recentRequests;
+    private double recentFailures;
+    private double failureScore;
+    private double slowScore;
+    private Condition condition = Condition.HEALTHY;
+    private long outUntilMillis;
+    private long lastEjectionMillis = Long.MIN_VALUE / 2;
+    private int relapses;
+    private int successesOnTrial;
+
+    /** Creates the health of an upstream that has done no work yet and counts as healthy. */
+    public UpstreamHealth(HealthPolicy policy) {
+        this.policy = Objects.requireNonNull(policy, "policy");
+    }
+
+    /** Sets what is usual in the upstream's group. */
+    public void baseline(Baseline usual) {
+        baseline = Objects.requireNonNull(usual, "usual");
+    }
+
+    /** Records a finished request and its latency in milliseconds. */
+    public void record(long nowMillis, Outcome outcome, double latencyMillis) {
+        boolean failed = outcome == Outcome.FAILURE;
+        recentRequests++;
+        recentFailures += failed ? 1 : 0;
+        addFailureEvidence(failed);
+        if (!failed) {
+            addSlowEvidence(latencyMillis > slowLimitMillis());
+            latencies[latencyCount++ % LATENCY_WINDOW] = latencyMillis;
+        }
+        boolean good = !failed && latencyMillis <= slowLimitMillis();
+        judge(nowMillis, good);
+    }
+
+    /** Records that a request has been in flight for longer than {@link #slowLimitMillis()} without an answer. */
+    public void recordOverdue(long nowMillis) {
+        addSlowEvidence(true);
+        judge(nowMillis, false);
+    }
+
+    /** Returns the latency in milliseconds above which a request counts as slow; infinite while unknown. */
+    public double slowLimitMillis() {
+        double usual = baseline.medianLatencyMillis();
+        return usual <= 0 ? Double.POSITIVE_INFINITY : Math.max(policy.minimumSlowMillis, usual * policy.slowFactor);
+    }
+
+    /** Returns the condition; an ejection that is over turns into a trial. */
+    public Condition condition(long nowMillis) {
+        if (condition == Condition.UNHEALTHY && nowMillis >= outUntilMillis) {
+            condition = Condition.TRIAL;
+            successesOnTrial = 0;
+        }
+        return condition;
+    }
+
+    /** Returns how bad the upstream is, from 0 for a healthy one to 8; coarse, so that it changes seldom. */
+    public int severity() {
+        return (int) Math.ceil(SEVERITY_STEPS * Math.max(failureScore, slowScore) / policy.ejectionScore);
+    }
+
+    /** Returns the recent work for the group's baseline and lets older work fade. */
+    public Baseline.Sample sample() {
+        Baseline.Sample sample =
+                new Baseline.Sample((int) Math.round(recentRequests), (int) Math.round(recentFailures), median());
+        recentRequests *= SAMPLE_DECAY;
+        recentFailures *= SAMPLE_DECAY;
+        return sample;
+    }
+
+    private void addFailureEvidence(boolean failed) {
+        double usual = Math.max(policy.usualFailureShare, baseline.failureShare());
+        double unhealthy =
+                Math.min(HIGHEST_ASSUMED_SHARE, Math.max(policy.unhealthyFailureShare, usual * GROUP_FAILURE_FACTOR));
+        failureScore = step(failureScore, failed, Math.min(usual, unhealthy / 2), unhealthy);
+    }
+
+    private void addSlowEvidence(boolean slow) {
+        slowScore = step(slowScore, slow, USUAL_SLOW_SHARE, UNHEALTHY_SLOW_SHARE);
+    }
+
+    private double step(double score, boolean bad, double usual, double unhealthy) {
+        double ratio = bad ? Math.log(unhealthy / usual) : Math.log((1 - unhealthy) / (1 - usual));
+        return Math.min(2 * policy.ejectionScore, Math.max(0, score + ratio));
+    }
+
+    private void judge(long nowMillis, boolean good) {
+        if (condition(nowMillis) == Condition.TRIAL) {
+            judgeTrial(nowMillis, good);
+            return;
+        }
+        if (condition == Condition.HEALTHY && Math.max(failureScore, slowScore) >= policy.ejectionScore) {
+            eject(nowMillis);
+        }
+    }
+
+    private void judgeTrial(long nowMillis, boolean good) {
+        if (!good) {
+            eject(nowMillis);
+            return;
+        }
+        successesOnTrial++;
+        if (successesOnTrial >= policy.trialSuccesses) {
+            condition = Condition.HEALTHY;
+            failureScore = 0;
+            slowScore = 0;
+        }
+    }
+
+    private void eject(long nowMillis) {
+        boolean relapse = nowMillis - lastEjectionMillis < policy.relapseWindowMillis;
+        relapses = relapse ? relapses + 1 : 0;
+        long millis = relapses == 0
+                ? policy.firstEjectionMillis
+                : Math.min(policy.longestEjectionMillis, policy.repeatedEjectionMillis << Math.min(relapses - 1, 10));
+        lastEjectionMillis = nowMillis;
+        outUntilMillis = nowMillis + millis;
+        condition = Condition.UNHEALTHY;
+    }
+
+    private double median() {
+        int count = Math.min(latencyCount, LATENCY_WINDOW);
+        if (count == 0) {
+            return 0;
+        }
+        double[] sorted = Arrays.copyOf(latencies, count);
+        Arrays.sort(sorted);
+        return sorted[(count - 1) / 2];
+    }
+
+    /** How a request ended, seen from the home of the upstream. */
+    public enum Outcome {
+        /** A whole answer that isn't a server error. */
+        SUCCESS,
+        /** A server error, a cut or crossed answer, a refused or lost connection, or a missed deadline. */
+        FAILURE
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/sardineshunt/coordination/intent/Selector.java
@@ -0,0 +1,71 @@
+package org.sardineshunt.coordination.intent;
+
+import java.util.Arrays;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+
+import io.vavr.control.Either;
+
+/**
+ * Picks upstreams by their labels: every named label must have one of its values.
+ *
+ * <p>Its text form is {@code label=value,label=value|value}. Every upstream has the labels {@code service},
+ * {@code upstream}, {@code node}, {@code data-centre} and {@code region} besides those that it announces. Immutable.
+ *
+ * @param terms allowed values by label
+ */
+public record Selector(Map<String, Set<String>> terms) {
+    private static final Pattern TERM = Pattern.compile("([A-Za-z0-9._-]+)=([A-Za-z0-9._:|-]+)");
+
+    /** Copies the terms. */
+    public Selector {
+        Map<String, Set<String>> copy = new TreeMap<>();
+        terms.forEach((label, values) -> copy.put(label, new TreeSet<>(values)));
+        terms = java.util.Collections.unmodifiableMap(copy);
+    }
+
+    /** Returns the selector that a text stands for, or what is wrong with the text. */
+    public static Either<String, Selector> parse(String text) {
+        Map<String, Set<String>> terms = new TreeMap<>();
+        for (String part : text.split(",", -1)) {
+            Matcher matcher = TERM.matcher(part.trim());
+            if (!matcher.matches()) {
+                return Either.left("selector term '" + part + "' is not of the form label=value or label=value|value");
+            }
+            if (terms.put(matcher.group(1), Set.copyOf(splitValues(matcher.group(2)))) != null) {
+                return Either.left("selector names the label '" + matcher.group(1) + "' twice");
+            }
+        }
+        return Either.right(new Selector(terms));
+    }
+
+    /** Returns whether the labels of an upstream fit. */
+    public boolean matches(Map<String, String> labels) {
+        return terms.entrySet().stream()
+                .allMatch(term -> term.getValue().contains(labels.getOrDefault(term.getKey(), "")));
+    }
+
+    /** Returns whether some upstream could fit both selectors. */
+    public boolean overlaps(Selector other) {
+        return terms.entrySet().stream().allMatch(term -> {
+            Set<String> theirs = other.terms.get(term.getKey());
+            return theirs == null || term.getValue().stream().anyMatch(theirs::contains);
+        });
+    }
+
+    /** Returns the text form. */
+    public String text() {
+        return terms.entrySet().stream()
+                .map(term -> term.getKey() + '=' + String.join("|", term.getValue()))
+                .collect(Collectors.joining(","));
+    }
+
+    private static Set<String> splitValues(String values) {
+        return Arrays.stream(values.split("\\|")).collect(Collectors.toSet());
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/sardineshunt/coordination/limit/AccountLimiter.java
@@ -0,0 +1,55 @@
+package org.sardineshunt.coordination.limit;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Limits the requests of each client account with a token bucket.
+ *
+ * <p>Only accounts seen lately are kept: the least recently used one makes room for a new one. An account that returns
+ * starts with a full bucket. Not thread-safe.
+ */
+public final class AccountLimiter {
+    private final double requestsPerSecond;
+    private final double burst;
+    private final Map<String, Bucket> buckets;
+
+    /**
+     * Creates a limiter.
+     *
+     * @param requestsPerSecond rate of each account, above 0
+     * @param burst requests that may come at once, at least 1
+     * @param accounts accounts that are kept, at least 1
+     */
+    public AccountLimiter(double requestsPerSecond, double burst, int accounts) {
+        if (requestsPerSecond <= 0 || burst < 1 || accounts < 1) {
+            throw new IllegalArgumentException("account limit of " + requestsPerSecond + " requests a second, burst "
+                    + burst + ", " + accounts + " accounts: all must be positive");
+        }
+        this.requestsPerSecond = requestsPerSecond;
+        this.burst = burst;
+        this.buckets = new LinkedHashMap<>(16, 0.75f, true) {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<String, Bucket> eldest) {
+                return size() > accounts;
+            }
+        };
+    }
+
+    /** Returns whether the account may send a request now, and counts it if so. */
+    public boolean tryAcquire(long nowMillis, String account) {
+        Bucket bucket = buckets.getOrDefault(account, new Bucket(burst, nowMillis));
+        double refilled = bucket.tokens() + (nowMillis - bucket.atMillis()) * requestsPerSecond / 1000;
+        double tokens = Math.min(burst, refilled);
+        boolean allowed = tokens >= 1;
+        buckets.put(account, new Bucket(allowed ? tokens - 1 : tokens, nowMillis));
+        return allowed;
+    }
+
+    /** Returns the accounts that are kept. */
+    public int size() {
+        return buckets.size();
+    }
+
+    private record Bucket(double tokens, long atMillis) {}
+}
--- /dev/null
+++ b/coordination/src/main/java/org/sardineshunt/coordination/limit/ColdStartRamp.java
@@ -0,0 +1,18 @@
+package org.sardineshunt.coordination.limit;
+
+/**
+ * Raises the concurrency of an upstream from one request to all of its slots after it has become ready.
+ *
+ * @param readyAtMillis monotonic time at which it became ready
+ * @param rampMillis time until all slots are in use; 0 means at once
+ */
+public record ColdStartRamp(long readyAtMillis, long rampMillis) {
+    /** Returns how many of the slots may be used now, at least 1 if there is any. */
+    public int limit(long nowMillis, int slots) {
+        long elapsed = Math.max(0, nowMillis - readyAtMillis);
+        if (elapsed >= rampMillis) {
+            return slots;
+        }
+        return (int) Math.min(slots, 1 + (slots - 1) * elapsed / rampMillis);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/sardineshunt/coordination/limit/HomeGate.java
@@ -0,0 +1,281 @@
+package org.sardineshunt.coordination.limit;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import io.vavr.control.Either;
+import org.sardineshunt.coordination.Rank;
+import org.sardineshunt.coordination.Reason;
+
+/**
+ * Queue in front of the slots of one upstream.
+ *
+ * <pre>{@code
+ * HomeGate<Call> gate = HomeGate.<Call>builder().ranks(ranks).slots(4).build();
+ * Either<Reason, Boolean> startedNow = gate.offer(nowMillis, work);
+ * List<Work<Call>> next = gate.finish(nowMillis, serviceMillis);
+ * }</pre>
+ *
+ * <p>Waiting work is started by rank order. A rank with a guaranteed share earns that part of a start whenever another
+ * rank is preferred to it, so that no flood starves it. Work whose expected wait plus expected service time passes its
+ * deadline is refused at once instead of after the wait. Not thread-safe.
+ *
+ * @param <T> what the caller attaches to its work
+ */
+public final class HomeGate<T> {
+    private static final double SERVICE_TIME_WEIGHT = 0.1;
+    private static final double HIGHEST_CREDIT = 2;
+
+    private final Map<String, Rank> ranks;
+    private final Map<String, Deque<Work<T>>> queues = new LinkedHashMap<>();
+    private final Map<String, Double> credits = new LinkedHashMap<>();
+    private final int queueLimit;
+    private final boolean refuseWithoutSlack;
+    private String urgentRank = "";
+    private int limit;
+    private int inFlight;
+    private double meanServiceMillis;
+
+    private HomeGate(Builder<T> builder) {
+        ranks = new LinkedHashMap<>();
+        builder.ranks.stream()
+                .sorted(Comparator.comparingInt(Rank::order))
+                .forEach(rank -> ranks.put(rank.name(), rank));
+        ranks.keySet().forEach(name -> queues.put(name, new ArrayDeque<>()));
+        ranks.keySet().forEach(name -> credits.put(name, 0.0));
+        queueLimit = builder.queueLimit;
+        refuseWithoutSlack = builder.refuseWithoutSlack;
+        limit = builder.slots;
+        meanServiceMillis = builder.expectedServiceMillis;
+    }
+
+    /** Returns a builder for one slot and no ranks. */
+    public static <T> Builder<T> builder() {
+        return new Builder<>();
+    }
+
+    /**
+     * Offers work: it takes a free slot, waits, or is refused.
+     *
+     * @return whether the work holds a slot now, or why it was refused
+     */
+    public Either<Reason, Boolean> offer(long nowMillis, Work<T> work) {
+        Deque<Work<T>> queue = queues.get(work.rank());
+        if (queue == null) {
+            return Either.left(Reason.MALFORMED_REQUEST);
+        }
+        if (work.deadlineMillis() <= nowMillis) {
+            return Either.left(Reason.DEADLINE_PASSED);
+        }
+        if (inFlight < limit && queued() == 0) {
+            inFlight++;
+            return Either.right(true);
+        }
+        if (queue.size() >= queueLimit) {
+            return Either.left(Reason.QUEUE_FULL);
+        }
+        if (refuseWithoutSlack && lacksSlack(nowMillis, work)) {
+            return Either.left(Reason.DEADLINE_SLACK);
+        }
+        queue.add(work);
+        return Either.right(false);
+    }
+
+    /**
+     * Gives back a slot and starts waiting work.
+     *
+     * @param serviceMillis how long the slot was held; negative when it says nothing about the service time
+     */
+    public List<Work<T>> finish(long nowMillis, double serviceMillis) {
+        inFlight = Math.max(0, inFlight - 1);
+        if (serviceMillis >= 0) {
+            meanServiceMillis += (serviceMillis - meanServiceMillis) * SERVICE_TIME_WEIGHT;
+        }
+        return startWaiting(nowMillis);
+    }
+
+    /** Sets how many requests may run at once and starts waiting work that now fits. */
+    public List<Work<T>> limit(long nowMillis, int newLimit) {
+        limit = newLimit;
+        return startWaiting(nowMillis);
+    }
+
+    /** Serves this rank before all others; an empty name restores the usual order. */
+    public void urgentRank(String name) {
+        urgentRank = name;
+    }
+
+    /** Removes and returns waiting work that can't be answered in time any more. */
+    public List<Work<T>> removeExpired(long nowMillis) {
+        return removeWaiting(work -> work.deadlineMillis() <= nowMillis);
+    }
+
+    /** Removes and returns all waiting work. */
+    public List<Work<T>> removeAll() {
+        return removeWaiting(work -> true);
+    }
+
+    /** Removes waiting work by its id; empty when it isn't waiting. */
+    public Optional<Work<T>> remove(String id) {
+        return removeWaiting(work -> work.id().equals(id)).stream().findFirst();
+    }
+
+    /** Returns the requests that hold a slot. */
+    public int inFlight() {
+        return inFlight;
+    }
+
+    /** Returns the requests that wait. */
+    public int queued() {
+        return queues.values().stream().mapToInt(Deque::size).sum();
+    }
+
+    /** Returns the requests that may run at once. */
+    public int limit() {
+        return limit;
+    }
+
+    /** Returns the expected wait of new work of a rank in milliseconds. */
+    public double expectedWaitMillis(String rankName) {
+        if (inFlight < limit && queued() == 0) {
+            return 0;
+        }
+        double perStart = meanServiceMillis / Math.max(1, limit);
+        long ahead = inOrder()
+                .takeWhile(rank -> !rank.name().equals(rankName))
+                .mapToLong(rank -> queues.get(rank.name()).size())
+                .sum();
+        int own = queues.get(rankName).size();
+        double byOrder = (ahead + own + 1) * perStart;
+        double share = ranks.get(rankName).guaranteedShare();
+        return share <= 0 ? byOrder : Math.min(byOrder, (own + 1) * perStart / share);
+    }
+
+    private boolean lacksSlack(long nowMillis, Work<T> work) {
+        double slack = work.deadlineMillis() - nowMillis;
+        return expectedWaitMillis(work.rank()) + meanServiceMillis > slack;
+    }
+
+    private List<Work<T>> startWaiting(long nowMillis) {
+        List<Work<T>> started = new ArrayList<>();
+        while (inFlight < limit) {
+            Optional<Work<T>> next = takeNext(nowMillis);
+            if (next.isEmpty()) {
+                return started;
+            }
+            inFlight++;
+            started.add(next.get());
+        }
+        return started;
+    }
+
+    private Optional<Work<T>> takeNext(long nowMillis) {
+        List<Rank> backlogged =
+                inOrder().filter(rank -> hasTimely(rank, nowMillis)).toList();
+        if (backlogged.isEmpty()) {
+            return Optional.empty();
+        }
+        backlogged.forEach(this::earnCredit);
+        Rank chosen = backlogged.stream()
+                .filter(rank -> credits.get(rank.name()) >= 1)
+                .findFirst()
+                .orElse(backlogged.get(0));
+        credits.computeIfPresent(chosen.name(), (name, credit) -> Math.max(0, credit - 1));
+        Iterable<Work<T>> queue = queues.get(chosen.name());
+        for (Work<T> work : queue) {
+            if (work.deadlineMillis() > nowMillis) {
+                queues.get(chosen.name()).remove(work);
+                return Optional.of(work);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private boolean hasTimely(Rank rank, long nowMillis) {
+        return queues.get(rank.name()).stream().anyMatch(work -> work.deadlineMillis() > nowMillis);
+    }
+
+    private void earnCredit(Rank rank) {
+        credits.merge(rank.name(), rank.guaranteedShare(), (credit, share) -> Math.min(HIGHEST_CREDIT, credit + share));
+    }
+
+    private Stream<Rank> inOrder() {
+        return ranks.values().stream()
+                .sorted(Comparator.comparing((Rank rank) -> !rank.name().equals(urgentRank))
+                        .thenComparingInt(Rank::order));
+    }
+
+    private List<Work<T>> removeWaiting(java.util.function.Predicate<Work<T>> condition) {
+        List<Work<T>> removed = queues.values().stream()
+                .flatMap(Deque::stream)
+                .filter(condition)
+                .toList();
+        queues.values().forEach(queue -> queue.removeIf(condition));
+        return removed;
+    }
+
+    /**
+     * Builds a {@link HomeGate}. Not thread-safe.
+     *
+     * @param <T> what the caller attaches to its work
+     */
+    public static final class Builder<T> {
+        private List<Rank> ranks = List.of();
+        private int slots = 1;
+        private int queueLimit = 256;
+        private double expectedServiceMillis = 20;
+        private boolean refuseWithoutSlack = true;
+
+        private Builder() {}
+
+        /**
+         * Sets the ranks that work may have.
+         *
+         * @throws IllegalArgumentException if the guaranteed shares exceed 1 together
+         */
+        public Builder<T> ranks(List<Rank> newRanks) {
+            double shares = newRanks.stream().mapToDouble(Rank::guaranteedShare).sum();
+            if (shares > 1) {
+                throw new IllegalArgumentException("guaranteed shares of the ranks add up to " + shares + ", above 1");
+            }
+            ranks = List.copyOf(newRanks);
+            return this;
+        }
+
+        /** Sets how many requests may run at once. */
+        public Builder<T> slots(int newSlots) {
+            slots = newSlots;
+            return this;
+        }
+
+        /** Sets how many requests of one rank may wait. */
+        public Builder<T> queueLimit(int newLimit) {
+            queueLimit = newLimit;
+            return this;
+        }
+
+        /** Sets the service time in milliseconds that is assumed before any is known. */
+        public Builder<T> expectedServiceMillis(double millis) {
+            expectedServiceMillis = millis;
+            return this;
+        }
+
+        /** Sets whether work that can't be answered in time is refused before the wait. */
+        public Builder<T> refuseWithoutSlack(boolean refuse) {
+            refuseWithoutSlack = refuse;
+            return this;
+        }
+
+        /** Returns the gate. */
+        public HomeGate<T> build() {
+            return new HomeGate<>(this);
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/sardineshunt/coordination/membership/MemberTable.java
@@ -0,0 +1,109 @@
+package org.sardineshunt.coordination.membership;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import org.sardineshunt.coordination.Rendezvous;
+
+/**
+ * The latest known record of each node, with digests for anti-entropy. Not thread-safe.
+ *
+ * <p>Nodes are spread over buckets by a hash of their id. Two tables compare one digest a bucket and exchange only the
+ * records of the buckets that differ.
+ */
+public final class MemberTable {
+    /** Number of digests that two tables compare. */
+    public static final int BUCKETS = 256;
+
+    private final Map<String, Member> members = new TreeMap<>();
+    private final Map<String, Long> endedAtMillis = new HashMap<>();
+    private final long[] digests = new long[BUCKETS];
+
+    /**
+     * Takes over a record if it supersedes the known one.
+     *
+     * @return whether the table changed
+     */
+    public boolean merge(long nowMillis, Member member) {
+        Member known = members.get(member.nodeId());
+        if (known != null && !member.supersedes(known)) {
+            return false;
+        }
+        if (known != null) {
+            toggleDigest(known);
+        }
+        members.put(member.nodeId(), member);
+        toggleDigest(member);
+        if (member.isReachable()) {
+            endedAtMillis.remove(member.nodeId());
+        } else {
+            endedAtMillis.putIfAbsent(member.nodeId(), nowMillis);
+        }
+        return true;
+    }
+
+    /** Forgets nodes that ended longer ago than some milliseconds. */
+    public void expire(long nowMillis, long keepMillis) {
+        List<String> forgotten = endedAtMillis.entrySet().stream()
+                .filter(entry -> entry.getValue() + keepMillis <= nowMillis)
+                .map(Map.Entry::getKey)
+                .toList();
+        forgotten.forEach(nodeId -> {
+            toggleDigest(members.remove(nodeId));
+            endedAtMillis.remove(nodeId);
+        });
+    }
+
+    /** Returns the record of a node. */
+    public Optional<Member> find(String nodeId) {
+        return Optional.ofNullable(members.get(nodeId));
+    }
+
+    /** Returns all records, also of ended nodes, ordered by node id. The view must not outlive the next change. */
+    public Collection<Member> all() {
+        return Collections.unmodifiableCollection(members.values());
+    }
+
+    /** Returns the nodes that work may be sent to, ordered by node id. */
+    public Stream<Member> reachable() {
+        return members.values().stream().filter(Member::isReachable);
+    }
+
+    /** Returns a copy of the digests, one a bucket. */
+    public long[] digests() {
+        return digests.clone();
+    }
+
+    /** Returns the buckets whose digest differs from another table's. */
+    public List<Integer> differingBuckets(long[] others) {
+        return IntStream.range(0, BUCKETS)
+                .filter(bucket -> bucket >= others.length || others[bucket] != digests[bucket])
+                .boxed()
+                .toList();
+    }
+
+    /** Returns the records in some buckets. */
+    public List<Member> inBuckets(Collection<Integer> buckets) {
+        return members.values().stream()
+                .filter(member -> buckets.contains(bucketOf(member.nodeId())))
+                .toList();
+    }
+
+    private void toggleDigest(Member member) {
+        long stamp = Rendezvous.hash(member.nodeId())
+                ^ Rendezvous.mix(member.incarnation() * 31 + member.version())
+                ^ Rendezvous.mix(member.state().ordinal() + 1L);
+        digests[bucketOf(member.nodeId())] ^= Rendezvous.mix(stamp);
+    }
+
+    private static int bucketOf(String nodeId) {
+        return (int) Long.remainderUnsigned(Rendezvous.hash(nodeId), BUCKETS);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/sardineshunt/coordination/once/CrashGuard.java
@@ -0,0 +1,73 @@
+package org.sardineshunt.coordination.once;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Finds requests that crash the upstreams that run them.
+ *
+ * <p>A request is recognised by its fingerprint. Each crash of an upstream makes a victim of all requests in flight
+ * there; a request with two victims is refused. A request that is answered is cleared, so popular requests that merely
+ * shared the upstream aren't refused. Not thread-safe.
+ */
+public final class CrashGuard {
+    private final int victimLimit;
+    private final long memoryMillis;
+    private final Map<String, Suspect> suspects = new HashMap<>();
+
+    /**
+     * Creates a guard.
+     *
+     * @param victimLimit upstreams that a request may crash before it is refused
+     * @param memoryMillis how long a suspect is remembered after its last victim
+     */
+    public CrashGuard(int victimLimit, long memoryMillis) {
+        this.victimLimit = victimLimit;
+        this.memoryMillis = memoryMillis;
+    }
+
+    /** Returns whether a request must be refused. */
+    public boolean refuses(long nowMillis, String fingerprint) {
+        Suspect suspect = suspects.get(fingerprint);
+        return suspect != null
+                && suspect.lastMillis() + memoryMillis > nowMillis
+                && suspect.victims().size() >= victimLimit;
+    }
+
+    /** Records that an upstream crashed while it ran the request; returns whether that was news. */
+    public boolean recordCrash(long nowMillis, String fingerprint, String upstreamId) {
+        Suspect suspect = suspects.getOrDefault(fingerprint, new Suspect(Set.of(), nowMillis));
+        if (suspect.victims().contains(upstreamId)) {
+            return false;
+        }
+        Set<String> victims = new HashSet<>(suspect.victims());
+        victims.add(upstreamId);
+        suspects.put(fingerprint, new Suspect(Set.copyOf(victims), nowMillis));
+        return true;
+    }
+
+    /** Records that an upstream answered the request. A request that is refused already stays refused. */
+    public void recordAnswer(String fingerprint) {
+        suspects.computeIfPresent(
+                fingerprint, (key, suspect) -> suspect.victims().size() >= victimLimit ? suspect : null);
+    }
+
+    /** Drops suspects whose time is over. */
+    public void expire(long nowMillis) {
+        suspects.values().removeIf(suspect -> suspect.lastMillis() + memoryMillis <= nowMillis);
+    }
+
+    /** Returns the fingerprints that are refused. */
+    public List<String> refused() {
+        return suspects.entrySet().stream()
+                .filter(entry -> entry.getValue().victims().size() >= victimLimit)
+                .map(Map.Entry::getKey)
+                .sorted()
+                .toList();
+    }
+
+    private record Suspect(Set<String> victims, long lastMillis) {}
+}
--- /dev/null
+++ b/coordination/src/main/java/org/sardineshunt/coordination/once/KeyLedger.java
@@ -0,0 +1,235 @@
+package org.sardineshunt.coordination.once;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.vavr.control.Option;
+import org.sardineshunt.coordination.Reason;
+import org.sardineshunt.coordination.Verdict;
+
+/**
+ * What one incarnation of a node knows of the tickets that it issued.
+ *
+ * <pre>{@code
+ * Ticket ticket = ledger.issue();
+ * Decision<Answer> decision = ledger.open(nowMillis, ticket, fingerprint);
+ * if (decision.kind() == Decision.Kind.START) { ... ledger.finish(nowMillis, ticket, verdict, answer); }
+ * }</pre>
+ *
+ * <p>A ticket takes memory only from its first use until the retention time after its end. When outcomes are dropped,
+ * the highest dropped sequence is kept, and an unrecorded ticket up to it counts as one that may have run. A full
+ * ledger refuses to start further tickets and never drops an outcome early. Not thread-safe.
+ *
+ * @param <A> the kept answer
+ */
+public final class KeyLedger<A> {
+    private final String nodeId;
+    private final long incarnation;
+    private final int capacity;
+    private final long retentionMillis;
+    private final Map<Long, Entry<A>> entries = new HashMap<>();
+    private final Deque<Ended> ended = new ArrayDeque<>();
+    private long lastIssued;
+    private long evictedThrough;
+
+    /**
+     * Creates the empty ledger of a node's incarnation.
+     *
+     * @param capacity outcomes that are kept at most
+     * @param retentionMillis how long an outcome is kept after the end of its request
+     */
+    public KeyLedger(String nodeId, long incarnation, int capacity, long retentionMillis) {
+        this.nodeId = nodeId;
+        this.incarnation = incarnation;
+        this.capacity = capacity;
+        this.retentionMillis = retentionMillis;
+    }
+
+    /** Returns the ledger that a stopping node passed on; tickets that were running there count as unresolved. */
+    public static <A> KeyLedger<A> adopt(long nowMillis, Handover<A> handover, int capacity, long retentionMillis) {
+        KeyLedger<A> ledger = new KeyLedger<>(handover.nodeId(), handover.incarnation(), capacity, retentionMillis);
+        ledger.lastIssued = handover.lastIssued();
+        ledger.evictedThrough = handover.evictedThrough();
+        handover.outcomes().forEach(outcome -> ledger.restore(nowMillis, outcome));
+        return ledger;
+    }
+
+    /** Returns a new ticket; it takes no memory until it is used. */
+    public Ticket issue() {
+        lastIssued++;
+        return new Ticket(nodeId, incarnation, lastIssued);
+    }
+
+    /**
+     * Decides what to do with a request that carries a ticket.
+     *
+     * @param fingerprint hash of the request; the same ticket with another one is refused
+     */
+    public Decision<A> open(long nowMillis, Ticket ticket, String fingerprint) {
+        evict(nowMillis);
+        if (!ticket.nodeId().equals(nodeId) || ticket.incarnation() != incarnation) {
+            return Decision.refuse(Reason.KEY_OUTCOME_UNKNOWN, Verdict.MAY_HAVE_RUN);
+        }
+        if (ticket.sequence() < 1 || ticket.sequence() > lastIssued) {
+            return Decision.refuse(Reason.TICKET_UNKNOWN, Verdict.NOT_RUN);
+        }
+        Entry<A> entry = entries.get(ticket.sequence());
+        return entry == null ? openUnused(ticket, fingerprint) : openUsed(ticket, entry, fingerprint);
+    }
+
+    /**
+     * Records the end of a started request. With {@link Verdict#NOT_RUN} the ticket may be used again.
+     *
+     * @param answer the answer to keep; may be null with {@link Verdict#MAY_HAVE_RUN}
+     */
+    public void finish(long nowMillis, Ticket ticket, Verdict verdict, A answer) {
+        Entry<A> entry = entries.get(ticket.sequence());
+        if (entry == null || entry.state() != State.RUNNING) {
+            return;
+        }
+        if (verdict == Verdict.NOT_RUN) {
+            entries.put(ticket.sequence(), new Entry<>(State.OPEN, entry.fingerprint(), null));
+        } else {
+            State state = verdict == Verdict.RAN ? State.ANSWERED : State.UNRESOLVED;
+            entries.put(ticket.sequence(), new Entry<>(state, entry.fingerprint(), answer));
+        }
+        ended.add(new Ended(ticket.sequence(), nowMillis));
+    }
+
+    /** Returns all outcomes for the node's successor. */
+    public Handover<A> handover() {
+        List<Outcome<A>> outcomes = new ArrayList<>();
+        entries.forEach((sequence, entry) ->
+                outcomes.add(new Outcome<>(sequence, entry.fingerprint(), entry.state(), entry.answer())));
+        return new Handover<>(nodeId, incarnation, lastIssued, evictedThrough, List.copyOf(outcomes));
+    }
+
+    /** Returns how many tickets take memory. */
+    public int size() {
+        return entries.size();
+    }
+
+    private Decision<A> openUnused(Ticket ticket, String fingerprint) {
+        if (ticket.sequence() <= evictedThrough) {
+            return Decision.refuse(Reason.KEY_OUTCOME_UNKNOWN, Verdict.MAY_HAVE_RUN);
+        }
+        if (entries.size() >= capacity) {
+            return Decision.refuse(Reason.KEY_CAPACITY, Verdict.NOT_RUN);
+        }
+        entries.put(ticket.sequence(), new Entry<>(State.RUNNING, fingerprint, null));
+        return Decision.start();
+    }
+
+    private Decision<A> openUsed(Ticket ticket, Entry<A> entry, String fingerprint) {
+        if (!entry.fingerprint().equals(fingerprint)) {
+            return Decision.refuse(Reason.KEY_REUSED, Verdict.NOT_RUN);
+        }
+        return switch (entry.state()) {
+            case RUNNING -> Decision.await();
+            case ANSWERED -> Decision.replay(entry.answer());
+            case UNRESOLVED -> Decision.refuse(Reason.KEY_OUTCOME_UNKNOWN, Verdict.MAY_HAVE_RUN);
+            case OPEN -> {
+                entries.put(ticket.sequence(), new Entry<>(State.RUNNING, fingerprint, null));
+                yield Decision.start();
+            }
+        };
+    }
+
+    private void restore(long nowMillis, Outcome<A> outcome) {
+        State state = outcome.state() == State.RUNNING ? State.UNRESOLVED : outcome.state();
+        entries.put(outcome.sequence(), new Entry<>(state, outcome.fingerprint(), outcome.answer()));
+        ended.add(new Ended(outcome.sequence(), nowMillis));
+    }
+
+    private void evict(long nowMillis) {
+        while (!ended.isEmpty() && ended.peek().atMillis() + retentionMillis <= nowMillis) {
+            long sequence = ended.poll().sequence();
+            Entry<A> entry = entries.get(sequence);
+            boolean endedAgainLater = ended.stream().anyMatch(other -> other.sequence() == sequence);
+            if (entry != null && entry.state() != State.RUNNING && !endedAgainLater) {
+                entries.remove(sequence);
+                evictedThrough = Math.max(evictedThrough, sequence);
+            }
+        }
+    }
+
+    /** State of a used ticket. */
+    public enum State {
+        /** Ended as not run; may be used again. */
+        OPEN,
+        RUNNING,
+        ANSWERED,
+        UNRESOLVED
+    }
+
+    private record Entry<A>(State state, String fingerprint, A answer) {}
+
+    private record Ended(long sequence, long atMillis) {}
+
+    /**
+     * One used ticket of a {@link Handover}.
+     *
+     * @param <A> the kept answer
+     * @param sequence number of the ticket
+     * @param fingerprint hash of its request
+     * @param state how far the request came
+     * @param answer the kept answer, or null
+     */
+    public record Outcome<A>(long sequence, String fingerprint, State state, A answer) {}
+
+    /**
+     * All that a stopping incarnation knows of its tickets.
+     *
+     * @param <A> the kept answer
+     * @param nodeId the issuer
+     * @param incarnation the issuer's incarnation
+     * @param lastIssued highest sequence that was issued
+     * @param evictedThrough highest sequence whose outcome was dropped
+     * @param outcomes all used tickets
+     */
+    public record Handover<A>(
+            String nodeId, long incarnation, long lastIssued, long evictedThrough, List<Outcome<A>> outcomes) {}
+
+    /**
+     * What to do with a request that carries a ticket.
+     *
+     * @param <A> the kept answer
+     * @param kind the decision
+     * @param answer the kept answer of a replay
+     * @param reason why the request was refused
+     * @param verdict whether a refused request may have run
+     */
+    public record Decision<A>(Kind kind, Option<A> answer, Reason reason, Verdict verdict) {
+        /** Kinds of decision. */
+        public enum Kind {
+            /** Run the request, then call {@code finish}. */
+            START,
+            /** The same request runs already: wait for its end. */
+            AWAIT,
+            /** Send the kept answer. */
+            REPLAY,
+            /** Refuse the request. */
+            REFUSE
+        }
+
+        static <A> Decision<A> start() {
+            return new Decision<>(Kind.START, Option.none(), Reason.NONE, Verdict.NOT_RUN);
+        }
+
+        static <A> Decision<A> await() {
+            return new Decision<>(Kind.AWAIT, Option.none(), Reason.NONE, Verdict.MAY_HAVE_RUN);
+        }
+
+        static <A> Decision<A> replay(A answer) {
+            return new Decision<>(Kind.REPLAY, Option.some(answer), Reason.NONE, Verdict.RAN);
+        }
+
+        static <A> Decision<A> refuse(Reason reason, Verdict verdict) {
+            return new Decision<>(Kind.REFUSE, Option.none(), reason, verdict);
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/sardineshunt/coordination/once/Ticket.java
@@ -0,0 +1,37 @@
+package org.sardineshunt.coordination.once;
+
+import java.util.Objects;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import io.vavr.control.Option;
+
+/**
+ * An idempotency key issued by a node. It names the one incarnation of the one node that knows whether it was used.
+ *
+ * @param nodeId the issuer, not null
+ * @param incarnation the issuer's incarnation
+ * @param sequence number among the issuer's tickets, from 1
+ */
+public record Ticket(String nodeId, long incarnation, long sequence) {
+    private static final Pattern TEXT = Pattern.compile("ticket\\.([^.]+)\\.([0-9a-z]{1,12})\\.([0-9a-z]{1,12})");
+
+    /** Checks the values. */
+    public Ticket {
+        Objects.requireNonNull(nodeId, "nodeId");
+    }
+
+    /** Returns the ticket that a text stands for, or none if it is not a ticket. */
+    public static Option<Ticket> parse(String text) {
+        Matcher matcher = TEXT.matcher(text);
+        return matcher.matches()
+                ? Option.of(new Ticket(
+                        matcher.group(1), Long.parseLong(matcher.group(2), 36), Long.parseLong(matcher.group(3), 36)))
+                : Option.none();
+    }
+
+    /** Returns the text that callers send as their idempotency key. */
+    public String text() {
+        return "ticket." + nodeId + '.' + Long.toString(incarnation, 36) + '.' + Long.toString(sequence, 36);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/sardineshunt/coordination/retry/package-info.java
@@ -0,0 +1,2 @@
+/** When a failed attempt may be repeated. */
+package org.sardineshunt.coordination.retry;
--- /dev/null
+++ b/coordination/src/main/java/org/sardineshunt/coordination/rotation/Placement.java
@@ -0,0 +1,44 @@
+package org.sardineshunt.coordination.rotation;
+
+/**
+ * Where the rotation puts one upstream, and why.
+ *
+ * @param id the upstream
+ * @param use what work it receives
+ * @param cause why
+ */
+public record Placement(String id, Use use, Cause cause) {
+    /** What work an upstream receives. */
+    public enum Use {
+        /** All work. */
+        FULL,
+        /** A trickle of idempotent work. */
+        TRIAL,
+        /** No new work. */
+        NONE
+    }
+
+    /** Why an upstream is placed as it is. */
+    public enum Cause {
+        HEALTHY("healthy"),
+        KEPT_BY_OVERRIDE("kept in by an override"),
+        HELD_BY_FLOOR("held in rotation by the capacity floor"),
+        DRAIN_HELD_BY_FLOOR("drain held back by the capacity floor"),
+        ON_TRIAL("on trial after an ejection"),
+        UNHEALTHY("ejected as unhealthy"),
+        DRAINED("drained by an override"),
+        LEAVING("announced that it stops"),
+        UNREACHABLE("home node is not a live member");
+
+        private final String text;
+
+        Cause(String text) {
+            this.text = text;
+        }
+
+        /** Returns a description for operators. */
+        public String text() {
+            return text;
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/sardineshunt/coordination/rotation/Rotation.java
@@ -0,0 +1,143 @@
+package org.sardineshunt.coordination.rotation;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+
+/**
+ * Decides which upstreams of one service receive work.
+ *
+ * <pre>{@code
+ * Rotation rotation = Rotation.builder().floorShare(0.5).build();
+ * Map<String, Placement> placements = rotation.place(candidates);
+ * }</pre>
+ *
+ * <p>The capacity in full use is never below the floor as long as the candidates that can serve at all reach it. The
+ * floor is a share of the slots of all candidates that are reachable and not leaving; ejections and drains are given
+ * back, least bad first, until it is reached. The result depends on the candidates alone, not on their order, so nodes
+ * with the same view decide alike. Immutable and thread-safe.
+ */
+public final class Rotation {
+    private static final Comparator<Candidate> LEAST_BAD_FIRST = Comparator.comparing(
+                    (Candidate candidate) -> candidate.override() == Candidate.Override.DRAIN)
+            .thenComparing(Candidate::condition)
+            .thenComparingInt(Candidate::severity)
+            .thenComparing(Candidate::id);
+
+    private final double floorShare;
+
+    private Rotation(double floorShare) {
+        this.floorShare = floorShare;
+    }
+
+    /** Returns a builder with a floor of half of the capacity. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Returns the slots that must stay in full use, given these candidates. */
+    public int floorSlots(Collection<Candidate> candidates) {
+        int available = candidates.stream()
+                .filter(Rotation::canServe)
+                .mapToInt(Candidate::slots)
+                .sum();
+        return (int) Math.ceil(available * floorShare - 1e-9);
+    }
+
+    /** Returns the placement of every candidate by its id, in the order of the ids. */
+    public Map<String, Placement> place(Collection<Candidate> candidates) {
+        Map<String, Placement> placements = new LinkedHashMap<>();
+        candidates.stream()
+                .sorted(Comparator.comparing(Candidate::id))
+                .forEach(candidate -> placements.put(candidate.id(), byOwnState(candidate)));
+        giveBackUntilFloor(candidates, placements);
+        return placements;
+    }
+
+    private void giveBackUntilFloor(Collection<Candidate> candidates, Map<String, Placement> placements) {
+        int missing = floorSlots(candidates) - slotsInUse(candidates, placements);
+        List<Candidate> withheld = candidates.stream()
+                .filter(Rotation::canServe)
+                .filter(candidate -> placements.get(candidate.id()).use() != Placement.Use.FULL)
+                .sorted(LEAST_BAD_FIRST)
+                .toList();
+        for (Candidate candidate : withheld) {
+            if (missing <= 0) {
+                return;
+            }
+            Placement.Cause cause = candidate.override() == Candidate.Override.DRAIN
+                    ? Placement.Cause.DRAIN_HELD_BY_FLOOR
+                    : Placement.Cause.HELD_BY_FLOOR;
+            placements.put(candidate.id(), new Placement(candidate.id(), Placement.Use.FULL, cause));
+            missing -= candidate.slots();
+        }
+    }
+
+    private static int slotsInUse(Collection<Candidate> candidates, Map<String, Placement> placements) {
+        return candidates.stream()
+                .filter(candidate -> placements.get(candidate.id()).use() == Placement.Use.FULL)
+                .mapToInt(Candidate::slots)
+                .sum();
+    }
+
+    private static boolean canServe(Candidate candidate) {
+        return candidate.reachable() && !candidate.leaving();
+    }
+
+    private static Placement byOwnState(Candidate candidate) {
+        return Stream.of(
+                        rule(candidate.leaving(), Placement.Use.NONE, Placement.Cause.LEAVING),
+                        rule(!candidate.reachable(), Placement.Use.NONE, Placement.Cause.UNREACHABLE),
+                        rule(
+                                candidate.override() == Candidate.Override.KEEP_IN,
+                                Placement.Use.FULL,
+                                Placement.Cause.KEPT_BY_OVERRIDE),
+                        rule(
+                                candidate.override() == Candidate.Override.DRAIN,
+                                Placement.Use.NONE,
+                                Placement.Cause.DRAINED),
+                        rule(
+                                candidate.condition() == Condition.UNHEALTHY,
+                                Placement.Use.NONE,
+                                Placement.Cause.UNHEALTHY),
+                        rule(candidate.condition() == Condition.TRIAL, Placement.Use.TRIAL, Placement.Cause.ON_TRIAL))
+                .filter(Rule::applies)
+                .findFirst()
+                .map(rule -> new Placement(candidate.id(), rule.use(), rule.cause()))
+                .orElseGet(() -> new Placement(candidate.id(), Placement.Use.FULL, Placement.Cause.HEALTHY));
+    }
+
+    private static Rule rule(boolean applies, Placement.Use use, Placement.Cause cause) {
+        return new Rule(applies, use, cause);
+    }
+
+    private record Rule(boolean applies, Placement.Use use, Placement.Cause cause) {}
+
+    /** Builds a {@link Rotation}. Not thread-safe. */
+    public static final class Builder {
+        private double floorShare = 0.5;
+
+        private Builder() {}
+
+        /**
+         * Sets the share of the announced capacity that stays in full use.
+         *
+         * @param share between 0 and 1
+         */
+        public Builder floorShare(double share) {
+            if (!(share >= 0 && share <= 1)) {
+                throw new IllegalArgumentException("floor share " + share + " is not between 0 and 1");
+            }
+            floorShare = share;
+            return this;
+        }
+
+        /** Returns the rotation. */
+        public Rotation build() {
+            return new Rotation(floorShare);
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/sardineshunt/coordination/rotation/package-info.java
@@ -0,0 +1,2 @@
+/** Which upstreams of a service receive work, never leaving less capacity than the floor. */
+package org.sardineshunt.coordination.rotation;
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/Node.java
@@ -0,0 +1,319 @@
+package org.sardineshunt.node;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.jboss.logging.Logger;
+import org.sardineshunt.coordination.Rendezvous;
+import org.sardineshunt.coordination.membership.Member;
+import org.sardineshunt.coordination.membership.PauseDetector;
+import org.sardineshunt.kit.HttpEndpoint;
+import org.sardineshunt.kit.HttpHandler;
+import org.sardineshunt.kit.HttpReply;
+import org.sardineshunt.node.backendserver.BackendServerClient;
+import org.sardineshunt.node.backendserver.HomeService;
+import org.sardineshunt.node.caller.CallerService;
+import org.sardineshunt.node.operator.OperatorService;
+import org.sardineshunt.node.peer.CrashRegister;
+import org.sardineshunt.node.peer.FleetGossip;
+import org.sardineshunt.node.peer.FrameFilter;
+import org.sardineshunt.node.peer.MembershipService;
+import org.sardineshunt.node.peer.PeerCalls;
+import org.sardineshunt.node.peer.PeerLinks;
+import org.sardineshunt.node.peer.PeerRequests;
+import org.sardineshunt.node.peer.PeerServer;
+import org.sardineshunt.node.platform.ClaimStore;
+import org.sardineshunt.node.platform.ConfigurationService;
+import org.sardineshunt.node.platform.PlatformClient;
+import org.sardineshunt.protocol.PeerFraming;
+import org.sardineshunt.protocol.PeerMessages.Hello;
+
+/**
+ * One node: entry for callers and home of upstreams.
+ *
+ * <pre>{@code
+ * Node node = Node.start(settings, FrameFilter.PASS_ALL);
+ * node.stop();
+ * }</pre>
+ *
+ * <p>Thread-safe.
+ */
+public final class Node {
+    private static final Logger LOG = Logger.getLogger(Node.class);
+    private static final Duration PLATFORM_TIMEOUT = Duration.ofMillis(1_500);
+    private static final int PEER_EVENT_LOOPS = 2;
+    private static final int CALLER_EVENT_LOOPS = 2;
+    private static final long JOIN_RETRY_MILLIS = 300;
+    private static final long PAUSE_TICK_MILLIS = 100;
+    private static final long LONGEST_GAP_MILLIS = 1_500;
+    private static final long STOP_POLL_MILLIS = 20;
+    private static final int SPREAD_AT_STOP = 6;
+
+    private final NodeSettings settings;
+    private final ControlThread control;
+    private final EventLoopGroup eventLoops =
+            new MultiThreadIoEventLoopGroup(PEER_EVENT_LOOPS, NioIoHandler.newFactory());
+    private final NodeMetrics metrics = new NodeMetrics();
+    private final PlatformClient platform;
+    private final BackendServerClient backendServers;
+    private final PeerLinks links;
+    private final PeerServer peerServer;
+    private final HttpEndpoint operatorEndpoint;
+    private final HttpEndpoint callerEndpoint;
+    private final MembershipService membership;
+    private final ConfigurationService configuration;
+    private final HomeService home;
+    private final CallerService callers;
+    private final CompletableFuture<Void> joined = new CompletableFuture<>();
+    private volatile boolean ready;
+
+    private Node(NodeSettings settings, FrameFilter filter) {
+        this.settings = settings;
+        control = new ControlThread(settings.nodeId());
+        long incarnation = System.currentTimeMillis();
+        Random random = new Random(Rendezvous.hash(settings.nodeId()) ^ incarnation);
+        Hello hello = Hello.newBuilder()
+                .setProtocolVersion(PeerFraming.PROTOCOL_VERSION)
+                .setNodeId(settings.nodeId())
+                .setIncarnation(incarnation)
+                .build();
+        int maxFrame = settings.limits().frame().bytes();
+        platform = new PlatformClient(settings.platform(), PLATFORM_TIMEOUT);
+        backendServers = new BackendServerClient(settings.limits().body().bytes());
+        links = new PeerLinks(
+                eventLoops, hello, maxFrame, settings.timing().linkSilence().millis(), filter);
+        AtomicReference<PeerServer.RequestHandler> peerHandler = new AtomicReference<>();
+        peerServer = new PeerServer(
+                hello,
+                maxFrame,
+                filter,
+                (node, request) -> peerHandler.get().handle(node, request),
+                metrics::violation);
+        int peerPort = peerServer.listen(
+                eventLoops, settings.ports().host(), settings.ports().peer());
+        AtomicReference<HttpHandler> operatorHandler = new AtomicReference<>(call ->
+                CompletableFuture.completedFuture(HttpReply.problem(503, "starting", "the node has just started")));
+        operatorEndpoint = operatorEndpoint(operatorHandler);
+        configuration = new ConfigurationService(control, platform);
+        CrashRegister crashes = new CrashRegister(control);
+        FleetGossip gossip = new FleetGossip(configuration, crashes);
+        membership =
+                new MembershipService(control, links, settings.timing(), self(incarnation, peerPort), random, gossip);
+        gossip.onBehind(nodeId ->
+                membership.table().find(nodeId).ifPresent(member -> membership.syncWith(nodeId, member.endpoint())));
+        RotationView rotations = new RotationView(membership.table(), configuration, settings.floorShare(), control);
+        membership.onChange(rotations::invalidate);
+        configuration.onChange(rotations::invalidate);
+        PeerCalls peers = new PeerCalls(control, links, membership);
+        HomeService.HomeContext context = new HomeService.HomeContext(control, settings, metrics, crashes);
+        home = new HomeService(context, membership, configuration, rotations, peers, backendServers);
+        ClaimStore claims = new ClaimStore(control, platform, settings.limits().claimsPerSecond());
+        callers = new CallerService(context, peers, home, rotations, claims, random);
+        OperatorService operator =
+                new OperatorService(context, membership, configuration, rotations, home, () -> ready);
+        operatorHandler.set(operator::handle);
+        peerHandler.set(new PeerRequests(
+                control,
+                membership,
+                new PeerRequests.Handlers(
+                        home::attempt, home::abandon, callers::runKeyed, home::collect, callers::adopt)));
+        callerEndpoint = callerEndpoint();
+    }
+
+    /**
+     * Starts a node; it serves callers once it knows the fleet's configuration.
+     *
+     * @param filter lets frames to other nodes pass; tests cut links with it
+     */
+    public static Node start(NodeSettings settings, FrameFilter filter) {
+        Node node = new Node(settings, filter);
+        node.control.execute(node::begin);
+        return node;
+    }
+
+    /** Returns the port for callers. */
+    public int callerPort() {
+        return callerEndpoint.port();
+    }
+
+    /** Returns the port for operators, announcements and metrics. */
+    public int operatorPort() {
+        return operatorEndpoint.port();
+    }
+
+    /** Returns the port for other nodes. */
+    public int peerPort() {
+        return membership.self().endpoint().peerPort();
+    }
+
+    /** Returns a future that completes when the node serves callers for the first time. */
+    public CompletableFuture<Void> joined() {
+        return joined;
+    }
+
+    /**
+     * Stops the node without cutting off requests in flight, within the stop limit of the settings.
+     *
+     * @return whether nothing was cut off
+     */
+    public boolean stop() {
+        LOG.infof("node '%s' stops", settings.nodeId());
+        control.execute(() -> {
+            callers.startClosing();
+            home.stopTaking();
+            membership.publishLeft("");
+            membership.spreadNow(SPREAD_AT_STOP);
+        });
+        sleep(settings.timing().stopGrace().millis());
+        control.execute(callers::stopTaking);
+        boolean complete = awaitIdle();
+        control.ask(callers::handOver)
+                .thenCompose(successor -> successor)
+                .thenAcceptAsync(
+                        successor -> {
+                            membership.publishLeft(successor);
+                            membership.spreadNow(SPREAD_AT_STOP);
+                        },
+                        control)
+                .orTimeout(settings.timing().linkSilence().millis() * 2, TimeUnit.MILLISECONDS)
+                .exceptionally(failure -> null)
+                .join();
+        sleep(settings.timing().probeTimeout().millis());
+        kill();
+        return complete;
+    }
+
+    /** Stops the node at once, as a crash would. */
+    public void kill() {
+        ready = false;
+        control.close();
+        callerEndpoint.close();
+        operatorEndpoint.close();
+        peerServer.close();
+        links.close();
+        backendServers.close();
+        platform.close();
+        eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private HttpEndpoint operatorEndpoint(AtomicReference<HttpHandler> handler) {
+        HttpEndpoint.Builder builder = HttpEndpoint.builder()
+                .host(settings.ports().host())
+                .port(settings.ports().operator())
+                .maxBodyBytes(settings.limits().body().bytes());
+        List.of("GET", "POST", "DELETE")
+                .forEach(method ->
+                        builder.route(method, "/*", call -> handler.get().handle(call)));
+        return builder.start();
+    }
+
+    private HttpEndpoint callerEndpoint() {
+        HttpEndpoint.Builder builder = HttpEndpoint.builder()
+                .host(settings.ports().host())
+                .port(settings.ports().caller())
+                .eventLoops(CALLER_EVENT_LOOPS)
+                .maxBodyBytes(settings.limits().body().bytes())
+                .route("POST", "/sardineshunt/tickets", call -> callers.issueTicket());
+        List.of("GET", "HEAD", "POST", "PUT", "DELETE", "PATCH")
+                .forEach(method -> builder.route(method, "/*", callers::handle));
+        return builder.start();
+    }
+
+    private Member self(long incarnation, int peerPort) {
+        return new Member(
+                settings.nodeId(),
+                incarnation,
+                1,
+                Member.State.ALIVE,
+                new Member.Endpoint(settings.ports().host(), peerPort, operatorEndpoint.port()),
+                new Member.Place(settings.dataCentre(), settings.region()),
+                "",
+                List.of());
+    }
+
+    private void begin() {
+        membership.start();
+        home.start();
+        control.every(settings.timing().pollPeriod().millis(), this::pollIfChosen);
+        PauseDetector pauses = new PauseDetector(LONGEST_GAP_MILLIS);
+        control.every(PAUSE_TICK_MILLIS, () -> noticePause(pauses));
+        join();
+    }
+
+    private void join() {
+        CompletableFuture<?>[] sources = java.util.stream.Stream.concat(
+                        settings.seeds().stream().map(seed -> membership.syncWith("", endpoint(seed))),
+                        java.util.stream.Stream.of(configuration.load()))
+                .toArray(CompletableFuture<?>[]::new);
+        CompletableFuture.allOf(sources).whenCompleteAsync((done, failure) -> becomeReady(), control);
+    }
+
+    private void becomeReady() {
+        if (!configuration.isKnown()) {
+            LOG.warn("neither a peer nor the platform knows the configuration; trying again");
+            control.after(JOIN_RETRY_MILLIS, this::join);
+            return;
+        }
+        callers.ready(true);
+        ready = true;
+        joined.complete(null);
+        membership.spreadNow(SPREAD_AT_STOP);
+        LOG.infof(
+                "node '%s' is ready at revision %d",
+                settings.nodeId(), configuration.intents().revision());
+    }
+
+    private static Member.Endpoint endpoint(String seed) {
+        int colon = seed.lastIndexOf(':');
+        return new Member.Endpoint(seed.substring(0, colon), Integer.parseInt(seed.substring(colon + 1)), 0);
+    }
+
+    private void pollIfChosen() {
+        List<String> local = membership
+                .table()
+                .reachable()
+                .filter(member -> member.place().dataCentre().equals(settings.dataCentre()))
+                .map(Member::nodeId)
+                .toList();
+        if (ConfigurationService.isPoller(settings.nodeId(), local)) {
+            configuration.poll();
+        }
+    }
+
+    private void noticePause(PauseDetector pauses) {
+        long pause = pauses.tick(control.nowMillis());
+        if (pause > 0 && ready) {
+            LOG.warnf("the process stood still for %d ms; asking peers before serving again", pause);
+            metrics.paused();
+            callers.ready(false);
+            join();
+        }
+    }
+
+    private boolean awaitIdle() {
+        long limit = System.nanoTime() + settings.timing().stopLimit().millis() * 1_000_000;
+        while (System.nanoTime() < limit) {
+            int left = control.ask(() -> callers.inFlight() + home.inFlight()).join();
+            if (left == 0) {
+                return true;
+            }
+            sleep(STOP_POLL_MILLIS);
+        }
+        return false;
+    }
+
+    private static void sleep(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/NodeMetrics.java
@@ -0,0 +1,65 @@
+package org.sardineshunt.node;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import org.sardineshunt.coordination.Reason;
+import org.sardineshunt.kit.Metrics;
+
+/** Metrics of a node. Thread-safe. */
+public final class NodeMetrics {
+    private final Metrics metrics = new Metrics();
+    private final Counter answers =
+            metrics.counter("answers", "Answers to callers by rank, verdict and reason", "rank", "verdict", "reason");
+    private final Counter retries =
+            metrics.counter("retries", "Further attempts by the reason of the failed one", "reason");
+    private final Counter refusals =
+            metrics.counter("home_refusals", "Attempts refused by this home node", "service", "reason");
+    private final Counter dropped = metrics.counter("dropped_answers", "Late, crossed or cut answers", "reason");
+    private final Counter violations =
+            metrics.counter("protocol_violations", "Peer links closed for a breach of the protocol", "kind");
+    private final Counter ejections = metrics.counter("ejections", "Upstreams found unhealthy", "upstream");
+    private final Counter pauses = metrics.counter("pauses", "Pauses of the process longer than its leases");
+    private final Histogram added =
+            metrics.histogram("request_seconds", "Time from a caller's request to its answer", "rank");
+
+    /** Returns the registry, for gauges. */
+    public Metrics registry() {
+        return metrics;
+    }
+
+    /** Counts an answer to a caller and its time in seconds. */
+    public void answered(String rank, String verdict, Reason reason, double seconds) {
+        answers.labelValues(rank, verdict, reason.label()).inc();
+        added.labelValues(rank).observe(seconds);
+    }
+
+    /** Counts a further attempt. */
+    public void retried(Reason reason) {
+        retries.labelValues(reason.label()).inc();
+    }
+
+    /** Counts an attempt that this home node refused. */
+    public void refused(String service, Reason reason) {
+        refusals.labelValues(service, reason.label()).inc();
+    }
+
+    /** Counts an answer that was not passed on. */
+    public void droppedAnswer(Reason reason) {
+        dropped.labelValues(reason.label()).inc();
+    }
+
+    /** Counts a breach of the peer protocol. */
+    public void violation(String kind) {
+        violations.labelValues(kind).inc();
+    }
+
+    /** Counts an upstream of this node that was found unhealthy. */
+    public void ejected(String upstream) {
+        ejections.labelValues(upstream).inc();
+    }
+
+    /** Counts a pause of the process. */
+    public void paused() {
+        pauses.inc();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/NodeSettings.java
@@ -0,0 +1,204 @@
+package org.sardineshunt.node;
+
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import io.vavr.control.Either;
+import org.sardineshunt.coordination.Rank;
+import org.sardineshunt.kit.ByteSize;
+import org.sardineshunt.kit.Json;
+import org.sardineshunt.kit.TimeSpan;
+
+/**
+ * Settings of a node. Immutable; read from JSON with comments.
+ *
+ * @param nodeId unique name of the node, without dots
+ * @param dataCentre data centre that it runs in
+ * @param region region of the data centre
+ * @param ports where it listens
+ * @param seeds peer addresses, {@code host:port}, that a starting node asks first
+ * @param platform base URL of the platform's table service and object store
+ * @param ranks ranks, the most urgent first
+ * @param routes routes, the first that fits applies
+ * @param floorShare share of a service's announced capacity that stays in use; 0.5 by default
+ * @param accounts limit of each client account
+ * @param timing periods and timeouts
+ * @param limits sizes and counts
+ */
+public record NodeSettings(
+        String nodeId,
+        String dataCentre,
+        String region,
+        Ports ports,
+        List<String> seeds,
+        String platform,
+        List<RankSettings> ranks,
+        List<RouteSettings> routes,
+        Double floorShare,
+        AccountSettings accounts,
+        TimingSettings timing,
+        LimitSettings limits) {
+    /** Fills in defaults and checks the values. */
+    public NodeSettings {
+        require(nodeId != null && nodeId.matches("[A-Za-z0-9_-]{1,48}"), "nodeId", nodeId, "letters, digits, - and _");
+        require(dataCentre != null && !dataCentre.isBlank(), "dataCentre", dataCentre, "a name");
+        require(region != null && !region.isBlank(), "region", region, "a name");
+        require(platform != null && platform.matches("https?://.+"), "platform", platform, "an http URL");
+        require(ranks != null && !ranks.isEmpty(), "ranks", ranks, "at least one rank");
+        ports = Objects.requireNonNullElse(ports, new Ports("127.0.0.1", 0, 0, 0));
+        seeds = seeds == null ? List.of() : List.copyOf(seeds);
+        ranks = List.copyOf(ranks);
+        routes = routes == null ? List.of() : List.copyOf(routes);
+        floorShare = Objects.requireNonNullElse(floorShare, 0.5);
+        require(floorShare >= 0 && floorShare <= 1, "floorShare", floorShare, "a share from 0 to 1");
+        accounts = Objects.requireNonNullElse(accounts, new AccountSettings(1_000, 2_000, 10_000));
+        timing = timing == null ? new TimingSettings(null, null, null, null, null, null, null, null) : timing;
+        limits = limits == null ? new LimitSettings(null, null, null, null, null) : limits;
+        Set<String> names = new HashSet<>();
+        ranks.forEach(rank -> require(names.add(rank.name()), "ranks", rank.name(), "each rank once"));
+        double shares =
+                ranks.stream().mapToDouble(RankSettings::guaranteedShare).sum();
+        require(shares <= 1, "ranks", shares, "guaranteed shares of 1 or less together");
+        routes.forEach(route -> require(names.contains(route.rank()), "routes", route.rank(), "a rank of " + names));
+    }
+
+    /** Returns the settings of a file, or a message with file, line and column. */
+    public static Either<String, NodeSettings> read(Path file) {
+        return Json.readFile(file, NodeSettings.class);
+    }
+
+    /** Returns the ranks in order. */
+    public List<Rank> rankList() {
+        return IntStream.range(0, ranks.size())
+                .mapToObj(order -> new Rank(
+                        ranks.get(order).name(), order, ranks.get(order).guaranteedShare()))
+                .toList();
+    }
+
+    private static void require(boolean holds, String key, Object value, String allowed) {
+        if (!holds) {
+            throw new IllegalArgumentException(key + ": '" + value + "' is not allowed; allowed: " + allowed);
+        }
+    }
+
+    /**
+     * Addresses that a node listens on.
+     *
+     * @param host IP number
+     * @param caller port for callers; 0 lets the system choose
+     * @param operator port for operators, announcements and metrics
+     * @param peer port for other nodes
+     */
+    public record Ports(String host, int caller, int operator, int peer) {}
+
+    /**
+     * A rank of work.
+     *
+     * @param name unique name
+     * @param guaranteedShare part of the slots that it keeps while others flood
+     */
+    public record RankSettings(String name, double guaranteedShare) {}
+
+    /**
+     * A route.
+     *
+     * @param method HTTP method, or {@code *}
+     * @param path start of the path
+     * @param service service that serves it
+     * @param rank rank of its requests
+     * @param idempotent whether a request may run twice
+     * @param keyRequired whether a request must carry an idempotency key
+     * @param deadline time for the whole request unless the caller asks for less
+     */
+    public record RouteSettings(
+            String method,
+            String path,
+            String service,
+            String rank,
+            boolean idempotent,
+            boolean keyRequired,
+            TimeSpan deadline) {
+        /** Checks the values. */
+        public RouteSettings {
+            require(path != null && path.startsWith("/"), "path", path, "a path that starts with /");
+            require(service != null && !service.isBlank(), "service", service, "a name");
+            require(!(idempotent && keyRequired), "keyRequired", true, "a key only for work that isn't idempotent");
+            method = Objects.requireNonNullElse(method, "*");
+            deadline = Objects.requireNonNullElse(deadline, new TimeSpan(3_000));
+        }
+    }
+
+    /**
+     * Limit of each client account at one node.
+     *
+     * @param requestsPerSecond rate
+     * @param burst requests that may come at once
+     * @param kept accounts that are remembered
+     */
+    public record AccountSettings(double requestsPerSecond, double burst, int kept) {}
+
+    /**
+     * Periods and timeouts.
+     *
+     * @param probePeriod time between membership probes
+     * @param probeTimeout time for the answer of a direct probe
+     * @param linkSilence silence after which a peer link is given up
+     * @param announcementLease time after which an upstream that no longer announces itself is out
+     * @param coldStartRamp time over which a new upstream's concurrency is raised
+     * @param pollPeriod time between polls of the table service
+     * @param stopGrace time in which a stopping node still serves while callers and peers learn of it
+     * @param stopLimit longest wait for requests in flight at a stop
+     */
+    public record TimingSettings(
+            TimeSpan probePeriod,
+            TimeSpan probeTimeout,
+            TimeSpan linkSilence,
+            TimeSpan announcementLease,
+            TimeSpan coldStartRamp,
+            TimeSpan pollPeriod,
+            TimeSpan stopGrace,
+            TimeSpan stopLimit) {
+        /** Fills in defaults and checks the values. */
+        public TimingSettings {
+            probePeriod = Objects.requireNonNullElse(probePeriod, new TimeSpan(1_000));
+            probeTimeout = Objects.requireNonNullElse(probeTimeout, new TimeSpan(300));
+            linkSilence = Objects.requireNonNullElse(linkSilence, new TimeSpan(1_500));
+            announcementLease = Objects.requireNonNullElse(announcementLease, new TimeSpan(2_000));
+            coldStartRamp = Objects.requireNonNullElse(coldStartRamp, new TimeSpan(2_000));
+            pollPeriod = Objects.requireNonNullElse(pollPeriod, new TimeSpan(2_000));
+            stopGrace = Objects.requireNonNullElse(stopGrace, new TimeSpan(1_000));
+            stopLimit = Objects.requireNonNullElse(stopLimit, new TimeSpan(30_000));
+            require(
+                    probeTimeout.millis() * 2 < probePeriod.millis(),
+                    "probeTimeout",
+                    probeTimeout.text(),
+                    "less than half of probePeriod " + probePeriod.text());
+        }
+    }
+
+    /**
+     * Sizes and counts.
+     *
+     * @param body longest request or answer body
+     * @param frame longest frame of a peer link
+     * @param queuePerRank requests of one rank that may wait at one upstream
+     * @param keptKeys keyed outcomes that the node keeps
+     * @param claimsPerSecond transactions a second that the node may use for claims of keys
+     */
+    public record LimitSettings(
+            ByteSize body, ByteSize frame, Integer queuePerRank, Integer keptKeys, Integer claimsPerSecond) {
+        /** Fills in defaults and checks the values. */
+        public LimitSettings {
+            body = Objects.requireNonNullElse(body, new ByteSize(1 << 20));
+            frame = Objects.requireNonNullElse(frame, new ByteSize(2 << 20));
+            queuePerRank = Objects.requireNonNullElse(queuePerRank, 128);
+            keptKeys = Objects.requireNonNullElse(keptKeys, 50_000);
+            claimsPerSecond = Objects.requireNonNullElse(claimsPerSecond, 30);
+            require(frame.bytes() > body.bytes(), "frame", frame.text(), "more than body " + body.text());
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/RotationView.java
@@ -0,0 +1,149 @@
+package org.sardineshunt.node;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.stream.Stream;
+
+import org.sardineshunt.coordination.intent.Intent;
+import org.sardineshunt.coordination.intent.IntentSet;
+import org.sardineshunt.coordination.membership.Member;
+import org.sardineshunt.coordination.membership.MemberTable;
+import org.sardineshunt.coordination.membership.UpstreamInfo;
+import org.sardineshunt.coordination.rotation.Candidate;
+import org.sardineshunt.coordination.rotation.Placement;
+import org.sardineshunt.coordination.rotation.Rotation;
+import org.sardineshunt.node.platform.ConfigurationService;
+
+/**
+ * Rotations of the services as this node sees them, computed when asked for and kept until the view changes. Belongs to
+ * the control thread.
+ */
+public final class RotationView {
+    private static final long KEPT_MILLIS = 1_000;
+
+    private final MemberTable table;
+    private final ConfigurationService configuration;
+    private final double usualFloor;
+    private final ControlThread control;
+    private final Map<String, ServiceView> views = new HashMap<>();
+
+    /** Creates a view over a member table and the intents in force. */
+    public RotationView(
+            MemberTable table, ConfigurationService configuration, double usualFloor, ControlThread control) {
+        this.table = table;
+        this.configuration = configuration;
+        this.usualFloor = usualFloor;
+        this.control = control;
+    }
+
+    /** Forgets all computed rotations. */
+    public void invalidate() {
+        views.clear();
+    }
+
+    /** Returns the rotation of a service. */
+    public ServiceView of(String service) {
+        ServiceView known = views.get(service);
+        if (known != null && control.nowMillis() - known.atMillis() < KEPT_MILLIS) {
+            return known;
+        }
+        ServiceView computed = compute(service);
+        views.put(service, computed);
+        return computed;
+    }
+
+    /** Returns the names of all services that some node serves. */
+    public List<String> services() {
+        return table.all().stream()
+                .flatMap(member -> member.upstreams().stream())
+                .map(UpstreamInfo::service)
+                .distinct()
+                .sorted()
+                .toList();
+    }
+
+    private ServiceView compute(String service) {
+        List<Located> located = table.all().stream()
+                .flatMap(member -> located(member, service))
+                .sorted(Comparator.comparing(entry -> entry.upstream().id()))
+                .toList();
+        double floorShare = configuration.floor(service, usualFloor, System.currentTimeMillis());
+        Rotation rotation = Rotation.builder().floorShare(floorShare).build();
+        List<Candidate> candidates = located.stream().map(Located::candidate).toList();
+        return new ServiceView(
+                service,
+                control.nowMillis(),
+                floorShare,
+                rotation.floorSlots(candidates),
+                located,
+                rotation.place(candidates));
+    }
+
+    private Stream<Located> located(Member member, String service) {
+        return member.upstreams().stream()
+                .filter(upstream -> upstream.service().equals(service))
+                .map(upstream -> new Located(member, upstream, candidate(member, upstream)));
+    }
+
+    private Candidate candidate(Member member, UpstreamInfo upstream) {
+        IntentSet intents = configuration.intents();
+        List<Intent> selecting = upstream.intentIds().stream()
+                .map(id -> intents.find(id).getOrNull())
+                .filter(Objects::nonNull)
+                .filter(intent -> intent.inForce(System.currentTimeMillis()))
+                .sorted(Comparator.comparingLong(Intent::revision).reversed())
+                .toList();
+        return new Candidate(
+                upstream.id(),
+                upstream.slots(),
+                upstream.condition(),
+                upstream.severity(),
+                IntentSet.override(selecting),
+                upstream.leaving(),
+                member.isReachable());
+    }
+
+    /**
+     * An upstream, where it is, and how the rotation judged it.
+     *
+     * @param member its home node
+     * @param upstream what is known of it
+     * @param candidate the rotation's input
+     */
+    public record Located(Member member, UpstreamInfo upstream, Candidate candidate) {}
+
+    /**
+     * The rotation of one service.
+     *
+     * @param service its name
+     * @param atMillis when it was computed
+     * @param floorShare the floor in force
+     * @param floorSlots the floor in slots
+     * @param upstreams all upstreams by id
+     * @param placements the placement of each upstream
+     */
+    public record ServiceView(
+            String service,
+            long atMillis,
+            double floorShare,
+            int floorSlots,
+            List<Located> upstreams,
+            Map<String, Placement> placements) {
+        /** Returns the upstreams with a use. */
+        public List<Located> with(Placement.Use use) {
+            return upstreams.stream()
+                    .filter(located -> placements.get(located.upstream().id()).use() == use)
+                    .toList();
+        }
+
+        /** Returns the slots in full use. */
+        public int slotsInUse() {
+            return with(Placement.Use.FULL).stream()
+                    .mapToInt(located -> located.upstream().slots())
+                    .sum();
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/backendserver/BackendServerClient.java
@@ -0,0 +1,201 @@
+package org.sardineshunt.node.backendserver;
+
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.net.ConnectException;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import com.google.protobuf.ByteString;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.ConnectionPool;
+import okhttp3.Dispatcher;
+import okhttp3.EventListener;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okio.BufferedSource;
+import org.sardineshunt.coordination.Reason;
+import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.node.Answers;
+import org.sardineshunt.protocol.PeerMessages.Answer;
+import org.sardineshunt.protocol.PeerMessages.Header;
+import org.sardineshunt.protocol.PeerMessages.RequestContent;
+
+/** Calls backend servers over loopback HTTP, each attempt once. Thread-safe; results come on its own threads. */
+public final class BackendServerClient implements AutoCloseable {
+    private static final String REQUEST_ID = "Sardineshunt-Request-Id";
+    private static final String DEADLINE_LEFT = "Sardineshunt-Deadline-Left-Millis";
+    private static final String VERDICT = "Sardineshunt-Verdict";
+    private static final Set<String> HOP_BY_HOP = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "host",
+            "content-length",
+            "accept-encoding",
+            "expect");
+    private static final int MOST_CALLS = 4_096;
+    private static final int IDLE_CONNECTIONS = 64;
+    private static final int IDLE_SECONDS = 30;
+    private static final int CONNECT_TIMEOUT_MILLIS = 500;
+
+    private final OkHttpClient client;
+    private final int maxBodyBytes;
+
+    /** Creates a client that accepts answers up to a length. */
+    public BackendServerClient(int maxBodyBytes) {
+        Dispatcher dispatcher = new Dispatcher();
+        dispatcher.setMaxRequests(MOST_CALLS);
+        dispatcher.setMaxRequestsPerHost(MOST_CALLS);
+        this.maxBodyBytes = maxBodyBytes;
+        this.client = new OkHttpClient.Builder()
+                .dispatcher(dispatcher)
+                .connectionPool(new ConnectionPool(IDLE_CONNECTIONS, IDLE_SECONDS, TimeUnit.SECONDS))
+                .connectTimeout(CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .readTimeout(0, TimeUnit.MILLISECONDS)
+                .retryOnConnectionFailure(false)
+                .followRedirects(false)
+                .eventListenerFactory(SentListener::new)
+                .build();
+    }
+
+    /** Runs one attempt; the future never fails. */
+    public CompletableFuture<Answer> call(Announcement server, RequestContent content, long leftMillis) {
+        CompletableFuture<Answer> result = new CompletableFuture<>();
+        AtomicBoolean sent = new AtomicBoolean();
+        Request request;
+        try {
+            request = request(server, content, leftMillis, sent);
+        } catch (IllegalArgumentException malformed) {
+            result.complete(Answers.failure(Verdict.NOT_RUN, Reason.MALFORMED_REQUEST, malformed.getMessage()));
+            return result;
+        }
+        Call prepared = client.newCall(request);
+        prepared.timeout().timeout(leftMillis, TimeUnit.MILLISECONDS);
+        prepared.enqueue(new Callback() {
+            @Override
+            public void onFailure(Call call, IOException failure) {
+                result.complete(failed(failure, sent.get()));
+            }
+
+            @Override
+            public void onResponse(Call call, Response response) {
+                try (response) {
+                    result.complete(read(response, content));
+                } catch (IOException cut) {
+                    result.complete(cut(cut));
+                }
+            }
+        });
+        return result;
+    }
+
+    @Override
+    public void close() {
+        client.dispatcher().cancelAll();
+        client.dispatcher().executorService().shutdown();
+        client.connectionPool().evictAll();
+    }
+
+    private static Request request(Announcement server, RequestContent content, long leftMillis, AtomicBoolean sent) {
+        boolean bodyless =
+                content.getMethod().equals("GET") || content.getMethod().equals("HEAD");
+        String mediaType = content.getHeadersList().stream()
+                .filter(header -> header.getName().equalsIgnoreCase("Content-Type"))
+                .map(Header::getValue)
+                .findFirst()
+                .orElse("application/octet-stream");
+        RequestBody body =
+                bodyless ? null : RequestBody.create(content.getBody().toByteArray(), MediaType.parse(mediaType));
+        Request.Builder request = new Request.Builder()
+                .url("http://" + server.host() + ":" + server.port() + content.getTarget())
+                .method(content.getMethod(), body);
+        content.getHeadersList().stream()
+                .filter(header -> !HOP_BY_HOP.contains(header.getName().toLowerCase(Locale.ROOT)))
+                .filter(header -> !header.getName().equalsIgnoreCase("Content-Type"))
+                .forEach(header -> request.addHeader(header.getName(), header.getValue()));
+        return request.tag(AtomicBoolean.class, sent)
+                .header(REQUEST_ID, content.getRequestId())
+                .header(DEADLINE_LEFT, Long.toString(leftMillis))
+                .build();
+    }
+
+    private Answer read(Response response, RequestContent content) throws IOException {
+        String answeredId = response.header(REQUEST_ID);
+        if (answeredId != null && !answeredId.equals(content.getRequestId())) {
+            return Answers.failure(
+                    Verdict.MAY_HAVE_RUN, Reason.ANSWER_CROSSED, "the answer belongs to request " + answeredId);
+        }
+        BufferedSource source = response.body().source();
+        if (source.request(maxBodyBytes + 1L)) {
+            return Answers.failure(
+                    Verdict.MAY_HAVE_RUN, Reason.ANSWER_TOO_LARGE, "the answer is over " + maxBodyBytes + " bytes");
+        }
+        byte[] body = source.readByteArray();
+        if (response.code() == 503 && "not-run".equals(response.header(VERDICT))) {
+            return Answers.failure(Verdict.NOT_RUN, Reason.BACKEND_SERVER_SHED, "the backend server shed the request");
+        }
+        boolean failed = response.code() >= 500;
+        Answer.Builder answer = Answer.newBuilder()
+                .setVerdict((failed ? Verdict.MAY_HAVE_RUN : Verdict.RAN).ordinal())
+                .setReason((failed ? Reason.SERVER_ERROR : Reason.NONE).label())
+                .setStatus(response.code())
+                .setBody(ByteString.copyFrom(body));
+        response.headers().forEach(header -> addHeader(answer, header.getFirst(), header.getSecond()));
+        return answer.build();
+    }
+
+    private static void addHeader(Answer.Builder answer, String name, String value) {
+        String lower = name.toLowerCase(Locale.ROOT);
+        if (!HOP_BY_HOP.contains(lower) && !lower.startsWith("sardineshunt-")) {
+            answer.addHeaders(Header.newBuilder().setName(name).setValue(value));
+        }
+    }
+
+    private static Answer failed(IOException failure, boolean sent) {
+        boolean timedOut = failure instanceof InterruptedIOException;
+        if (!sent) {
+            Reason reason = timedOut && !(failure instanceof java.net.SocketTimeoutException)
+                    ? Reason.DEADLINE_PASSED
+                    : Reason.BACKEND_SERVER_REFUSED;
+            return Answers.failure(Verdict.NOT_RUN, reason, String.valueOf(failure.getMessage()));
+        }
+        if (timedOut) {
+            return Answers.failure(Verdict.MAY_HAVE_RUN, Reason.DEADLINE_PASSED, "no answer before the deadline");
+        }
+        return Answers.failure(Verdict.MAY_HAVE_RUN, Reason.BACKEND_SERVER_FAILED, String.valueOf(failure.getMessage()))
+                .toBuilder()
+                .setUpstreamCrashed(!(failure instanceof ConnectException))
+                .build();
+    }
+
+    private static Answer cut(IOException failure) {
+        Reason reason = failure instanceof InterruptedIOException ? Reason.DEADLINE_PASSED : Reason.ANSWER_CUT;
+        return Answers.failure(Verdict.MAY_HAVE_RUN, reason, "answer cut short: " + failure.getMessage());
+    }
+
+    /** Notes that the first byte of a request may have left. */
+    private static final class SentListener extends EventListener {
+        private final AtomicBoolean sent;
+
+        private SentListener(Call call) {
+            sent = call.request().tag(AtomicBoolean.class);
+        }
+
+        @Override
+        public void requestHeadersStart(Call call) {
+            sent.set(true);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/backendserver/GroupHealth.java
@@ -0,0 +1,115 @@
+package org.sardineshunt.node.backendserver;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+
+import org.sardineshunt.coordination.Rendezvous;
+import org.sardineshunt.coordination.health.Baseline;
+import org.sardineshunt.coordination.health.Baseline.Sample;
+import org.sardineshunt.coordination.membership.Member;
+import org.sardineshunt.node.ControlThread;
+import org.sardineshunt.node.peer.PeerCalls;
+import org.sardineshunt.protocol.PeerMessages.Envelope;
+import org.sardineshunt.protocol.PeerMessages.HealthBaseline;
+import org.sardineshunt.protocol.PeerMessages.HealthReport;
+import org.sardineshunt.protocol.PeerMessages.ServiceBaseline;
+import org.sardineshunt.protocol.PeerMessages.UpstreamSample;
+
+/**
+ * Compares the upstreams of a service across home nodes. Belongs to the control thread.
+ *
+ * <p>For each service one of its homes, chosen by rendezvous hashing, collects samples of all of them and answers with
+ * the group's baseline. What it holds is rebuilt within a report period if another node takes over.
+ */
+final class GroupHealth {
+    private static final long SAMPLE_LIFE_MILLIS = 3_000;
+    private static final int MINIMUM_REQUESTS = 3;
+    private static final long CALL_TIMEOUT_MILLIS = 400;
+
+    private final ControlThread control;
+    private final PeerCalls peers;
+    private final Map<String, Map<String, Received>> collected = new HashMap<>();
+
+    GroupHealth(ControlThread control, PeerCalls peers) {
+        this.control = control;
+        this.peers = peers;
+    }
+
+    /** Sends samples to the collectors of their services; each baseline that comes back is passed on. */
+    void report(Collection<UpstreamSample> samples, Consumer<ServiceBaseline> onBaseline) {
+        Map<Member, List<UpstreamSample>> byCollector = samples.stream()
+                .flatMap(sample ->
+                        peers
+                                .table()
+                                .find(collector(sample.getService()))
+                                .map(member -> Map.entry(member, sample))
+                                .stream())
+                .collect(Collectors.groupingBy(
+                        Map.Entry::getKey, Collectors.mapping(Map.Entry::getValue, Collectors.toList())));
+        byCollector.forEach((member, own) -> reportTo(member, own, onBaseline));
+    }
+
+    /** Answers another home's report with the baselines of its services. */
+    HealthBaseline collect(HealthReport report) {
+        long now = control.nowMillis();
+        report.getSamplesList().forEach(sample -> collected
+                .computeIfAbsent(sample.getService(), key -> new HashMap<>())
+                .put(sample.getUpstreamId(), new Received(now, sample)));
+        HealthBaseline.Builder reply = HealthBaseline.newBuilder();
+        report.getSamplesList().stream()
+                .map(UpstreamSample::getService)
+                .distinct()
+                .map(service -> baseline(now, service))
+                .forEach(reply::addBaselines);
+        return reply.build();
+    }
+
+    private void reportTo(Member member, List<UpstreamSample> samples, Consumer<ServiceBaseline> onBaseline) {
+        HealthReport report = HealthReport.newBuilder().addAllSamples(samples).build();
+        if (member.nodeId().equals(peers.selfId())) {
+            collect(report).getBaselinesList().forEach(onBaseline);
+            return;
+        }
+        Envelope message = Envelope.newBuilder().setHealthReport(report).build();
+        peers.call(member, message, CALL_TIMEOUT_MILLIS)
+                .thenAccept(
+                        reply -> reply.getHealthBaseline().getBaselinesList().forEach(onBaseline));
+    }
+
+    private String collector(String service) {
+        List<String> homes = new ArrayList<>(peers.table()
+                .reachable()
+                .filter(member -> member.upstreams().stream()
+                        .anyMatch(upstream -> upstream.service().equals(service)))
+                .map(Member::nodeId)
+                .toList());
+        return homes.isEmpty()
+                ? peers.selfId()
+                : Rendezvous.choose("health/" + service, homes, 1).get(0);
+    }
+
+    private ServiceBaseline baseline(long now, String service) {
+        Map<String, Received> received = collected.get(service);
+        received.values().removeIf(entry -> now - entry.atMillis() > SAMPLE_LIFE_MILLIS);
+        Baseline baseline = Baseline.of(
+                received.values().stream()
+                        .map(Received::sample)
+                        .map(sample -> new Sample(
+                                sample.getRequests(), sample.getFailures(), sample.getMedianLatencyMicros() / 1_000.0))
+                        .toList(),
+                MINIMUM_REQUESTS);
+        return ServiceBaseline.newBuilder()
+                .setService(service)
+                .setFailureShare(baseline.failureShare())
+                .setMedianLatencyMicros(Math.round(baseline.medianLatencyMillis() * 1_000))
+                .setUpstreams(baseline.upstreams())
+                .build();
+    }
+
+    private record Received(long atMillis, UpstreamSample sample) {}
+}
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/backendserver/HomeService.java
@@ -0,0 +1,414 @@
+package org.sardineshunt.node.backendserver;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+import org.jboss.logging.Logger;
+import org.sardineshunt.coordination.Reason;
+import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.coordination.health.Baseline;
+import org.sardineshunt.coordination.health.HealthPolicy;
+import org.sardineshunt.coordination.health.UpstreamHealth.Outcome;
+import org.sardineshunt.coordination.intent.Intent;
+import org.sardineshunt.coordination.limit.Work;
+import org.sardineshunt.coordination.membership.UpstreamInfo;
+import org.sardineshunt.coordination.once.AttemptLedger;
+import org.sardineshunt.coordination.once.AttemptLedger.Abandonment;
+import org.sardineshunt.coordination.rotation.Condition;
+import org.sardineshunt.coordination.rotation.Placement;
+import org.sardineshunt.node.Answers;
+import org.sardineshunt.node.ControlThread;
+import org.sardineshunt.node.NodeMetrics;
+import org.sardineshunt.node.NodeSettings;
+import org.sardineshunt.node.RotationView;
+import org.sardineshunt.node.backendserver.HomeUpstream.PendingAttempt;
+import org.sardineshunt.node.peer.CrashRegister;
+import org.sardineshunt.node.peer.MembershipService;
+import org.sardineshunt.node.peer.PeerCalls;
+import org.sardineshunt.node.platform.ConfigurationService;
+import org.sardineshunt.protocol.PeerMessages.Abandon;
+import org.sardineshunt.protocol.PeerMessages.AbandonReply;
+import org.sardineshunt.protocol.PeerMessages.Answer;
+import org.sardineshunt.protocol.PeerMessages.Attempt;
+import org.sardineshunt.protocol.PeerMessages.HealthBaseline;
+import org.sardineshunt.protocol.PeerMessages.HealthReport;
+import org.sardineshunt.protocol.PeerMessages.HomeLoad;
+import org.sardineshunt.protocol.PeerMessages.RequestContent;
+import org.sardineshunt.protocol.PeerMessages.ServiceBaseline;
+import org.sardineshunt.protocol.PeerMessages.UpstreamSample;
+
+/**
+ * The home of the upstreams that announce themselves here: only this class hands work to them. Belongs to the control
+ * thread.
+ */
+public final class HomeService {
+    private static final Logger LOG = Logger.getLogger(HomeService.class);
+    private static final long TICK_MILLIS = 50;
+    private static final long REPORT_MILLIS = 500;
+    private static final long ANSWER_RETENTION_MILLIS = 30_000;
+    private static final long TIMEOUT_COUNTS_AFTER_MILLIS = 1_000;
+
+    private final ControlThread control;
+    private final NodeSettings settings;
+    private final NodeMetrics metrics;
+    private final MembershipService membership;
+    private final ConfigurationService configuration;
+    private final RotationView rotations;
+    private final CrashRegister crashes;
+    private final BackendServerClient client;
+    private final GroupHealth groupHealth;
+    private final HealthPolicy policy = HealthPolicy.builder().build();
+    private final Map<String, HomeUpstream> upstreams = new TreeMap<>();
+    private final AttemptLedger<Answer> attempts = new AttemptLedger<>(ANSWER_RETENTION_MILLIS);
+    private boolean stopping;
+    private int inFlight;
+
+    /** Creates a home without upstreams. */
+    public HomeService(
+            HomeContext context,
+            MembershipService membership,
+            ConfigurationService configuration,
+            RotationView rotations,
+            PeerCalls peers,
+            BackendServerClient client) {
+        this.control = context.control();
+        this.settings = context.settings();
+        this.metrics = context.metrics();
+        this.crashes = context.crashes();
+        this.membership = membership;
+        this.configuration = configuration;
+        this.rotations = rotations;
+        this.client = client;
+        this.groupHealth = new GroupHealth(control, peers);
+    }
+
+    /** Starts the timers. */
+    public void start() {
+        control.every(TICK_MILLIS, this::tick);
+        control.every(REPORT_MILLIS, this::report);
+        configuration.onChange(this::publish);
+    }
+
+    /** Takes over an announcement; returns how long it counts, in milliseconds. */
+    public long announce(Announcement announcement) {
+        HomeUpstream upstream = upstreams.computeIfAbsent(announcement.id(), id -> {
+            LOG.infof("upstream '%s' of service '%s' announced itself", id, announcement.service());
+            return new HomeUpstream(
+                    announcement,
+                    settings.rankList(),
+                    settings.limits().queuePerRank(),
+                    settings.timing().coldStartRamp().millis(),
+                    policy);
+        });
+        upstream.announce(control.nowMillis(), announcement).forEach(work -> start(upstream, work));
+        if (announcement.leaving()) {
+            refuseWaiting(upstream, Reason.DRAINING);
+        }
+        publish();
+        return settings.timing().announcementLease().millis();
+    }
+
+    /** Runs an attempt, or refuses it; the future never fails. */
+    public CompletableFuture<Answer> attempt(Attempt attempt) {
+        RequestContent content = attempt.getContent();
+        AttemptLedger.Arrival arrival = attempts.arrive(attempt.getAttemptId());
+        if (arrival != AttemptLedger.Arrival.ACCEPTED) {
+            boolean abandoned = arrival == AttemptLedger.Arrival.ABANDONED;
+            return refuse(
+                    attempt,
+                    abandoned ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN,
+                    abandoned ? Reason.ABANDONED : Reason.DUPLICATE_ATTEMPT);
+        }
+        if (crashes.refuses(content.getFingerprint())) {
+            return refuseForGood(attempt, Reason.CRASHING_REQUEST);
+        }
+        if (stopping) {
+            return refuseForGood(attempt, Reason.SHUTTING_DOWN);
+        }
+        Optional<HomeUpstream> chosen = choose(attempt);
+        return chosen.isPresent()
+                ? enqueue(attempt, chosen.get())
+                : refuseForGood(attempt, whyNone(content.getService()));
+    }
+
+    /** Answers what became of an attempt, and lets it never start if it hasn't. */
+    public AbandonReply abandon(Abandon abandon) {
+        long now = control.nowMillis();
+        if (abandon.getHomeIncarnation() != membership.self().incarnation()) {
+            return AbandonReply.newBuilder()
+                    .setState(AbandonReply.State.UNKNOWN)
+                    .build();
+        }
+        Abandonment<Answer> abandonment = attempts.abandon(now, abandon.getAttemptId(), abandon.getRememberMillis());
+        if (abandonment.state() == AttemptLedger.State.ABANDONED) {
+            upstreams.values().stream()
+                    .flatMap(upstream -> upstream.gate().remove(abandon.getAttemptId()).stream())
+                    .forEach(work -> complete(work, Verdict.NOT_RUN, Reason.ABANDONED));
+        }
+        return switch (abandonment.state()) {
+            case ABANDONED -> AbandonReply.newBuilder()
+                    .setState(AbandonReply.State.NOT_RUN)
+                    .build();
+            case FINISHED -> AbandonReply.newBuilder()
+                    .setState(AbandonReply.State.FINISHED)
+                    .setAnswer(abandonment.answer())
+                    .build();
+            default -> AbandonReply.newBuilder()
+                    .setState(AbandonReply.State.RUNNING)
+                    .build();
+        };
+    }
+
+    /** Answers another home's health report. */
+    public HealthBaseline collect(HealthReport report) {
+        return groupHealth.collect(report);
+    }
+
+    /** Refuses all new and waiting work from now on. */
+    public void stopTaking() {
+        stopping = true;
+        upstreams.values().forEach(upstream -> refuseWaiting(upstream, Reason.SHUTTING_DOWN));
+    }
+
+    /** Returns the attempts that run now. */
+    public int inFlight() {
+        return inFlight;
+    }
+
+    private Optional<HomeUpstream> choose(Attempt attempt) {
+        Map<String, Placement> placements =
+                rotations.of(attempt.getContent().getService()).placements();
+        boolean trial = attempt.getTrial() && attempt.getContent().getIdempotent();
+        Placement.Use wanted = trial ? Placement.Use.TRIAL : Placement.Use.FULL;
+        return serving(attempt.getContent().getService())
+                .filter(upstream -> use(placements, upstream) == wanted)
+                .min(Comparator.comparingDouble(HomeUpstream::load));
+    }
+
+    private static Placement.Use use(Map<String, Placement> placements, HomeUpstream upstream) {
+        Placement placement = placements.get(upstream.announcement().id());
+        return placement == null ? Placement.Use.NONE : placement.use();
+    }
+
+    private java.util.stream.Stream<HomeUpstream> serving(String service) {
+        long now = control.nowMillis();
+        long lease = settings.timing().announcementLease().millis();
+        return upstreams.values().stream()
+                .filter(upstream -> upstream.announcement().service().equals(service))
+                .filter(upstream -> upstream.announcement().ready())
+                .filter(upstream -> !upstream.leaseOver(now, lease));
+    }
+
+    private Reason whyNone(String service) {
+        boolean leaving = upstreams.values().stream()
+                .filter(upstream -> upstream.announcement().service().equals(service))
+                .anyMatch(upstream -> upstream.announcement().leaving());
+        boolean serving = serving(service).findAny().isPresent();
+        return serving ? Reason.OUT_OF_ROTATION : leaving ? Reason.DRAINING : Reason.NO_UPSTREAM;
+    }
+
+    private CompletableFuture<Answer> enqueue(Attempt attempt, HomeUpstream upstream) {
+        long now = control.nowMillis();
+        PendingAttempt pending = new PendingAttempt(attempt, new CompletableFuture<>());
+        Work<PendingAttempt> work = new Work<>(
+                attempt.getAttemptId(),
+                attempt.getContent().getRank(),
+                now + attempt.getContent().getDeadlineLeftMillis(),
+                pending);
+        upstream.gate()
+                .offer(now, work)
+                .peek(startedNow -> {
+                    if (startedNow) {
+                        start(upstream, work);
+                    }
+                })
+                .peekLeft(reason -> complete(work, Verdict.NOT_RUN, reason));
+        return pending.answer();
+    }
+
+    private void start(HomeUpstream upstream, Work<PendingAttempt> work) {
+        long now = control.nowMillis();
+        Attempt attempt = work.payload().attempt();
+        if (!attempts.start(work.id())) {
+            upstream.gate().finish(now, -1).forEach(next -> start(upstream, next));
+            return;
+        }
+        inFlight++;
+        upstream.started(now, work.id());
+        client.call(upstream.announcement(), attempt.getContent(), Math.max(1, work.deadlineMillis() - now))
+                .thenAccept(answer -> control.execute(() -> finish(upstream, work, now, answer)));
+    }
+
+    private void finish(HomeUpstream upstream, Work<PendingAttempt> work, long startedMillis, Answer answer) {
+        long now = control.nowMillis();
+        String upstreamId = upstream.announcement().id();
+        RequestContent content = work.payload().attempt().getContent();
+        inFlight--;
+        if (answer.getUpstreamCrashed()) {
+            crashes.recordCrash(content.getFingerprint(), upstreamId);
+        } else if (Answers.verdict(answer) == Verdict.RAN) {
+            crashes.recordAnswer(content.getFingerprint());
+        }
+        Answer complete = answer.toBuilder()
+                .setAttemptId(work.id())
+                .setUpstreamId(upstreamId)
+                .setLoad(load(upstream, content.getRank()))
+                .build();
+        attempts.finish(now, work.id(), complete);
+        boolean healthyBefore = upstream.health().condition(now) == Condition.HEALTHY;
+        List<Work<PendingAttempt>> next =
+                upstream.finished(now, work.id(), outcome(answer), saysSomething(answer, now - startedMillis));
+        if (healthyBefore && upstream.health().condition(now) == Condition.UNHEALTHY) {
+            LOG.warnf(
+                    "upstream '%s' is unhealthy, severity %d",
+                    upstreamId, upstream.health().severity());
+            metrics.ejected(upstreamId);
+            publish();
+        }
+        work.payload().answer().complete(complete);
+        next.forEach(waiting -> start(upstream, waiting));
+    }
+
+    private static Outcome outcome(Answer answer) {
+        return Answers.verdict(answer) == Verdict.RAN ? Outcome.SUCCESS : Outcome.FAILURE;
+    }
+
+    private static boolean saysSomething(Answer answer, long tookMillis) {
+        return switch (Answers.reason(answer)) {
+            case MALFORMED_REQUEST, ANSWER_TOO_LARGE -> false;
+            case DEADLINE_PASSED -> tookMillis >= TIMEOUT_COUNTS_AFTER_MILLIS;
+            default -> true;
+        };
+    }
+
+    private static HomeLoad load(HomeUpstream upstream, String rank) {
+        return HomeLoad.newBuilder()
+                .setInFlight(upstream.gate().inFlight())
+                .setQueued(upstream.gate().queued())
+                .setSlots(upstream.gate().limit())
+                .setExpectedWaitMillis(Math.round(upstream.gate().expectedWaitMillis(rank)))
+                .build();
+    }
+
+    private void complete(Work<PendingAttempt> work, Verdict verdict, Reason reason) {
+        Attempt attempt = work.payload().attempt();
+        attempts.refuse(control.nowMillis(), work.id());
+        refuse(attempt, verdict, reason).thenAccept(work.payload().answer()::complete);
+    }
+
+    private CompletableFuture<Answer> refuseForGood(Attempt attempt, Reason reason) {
+        attempts.refuse(control.nowMillis(), attempt.getAttemptId());
+        return refuse(attempt, Verdict.NOT_RUN, reason);
+    }
+
+    private CompletableFuture<Answer> refuse(Attempt attempt, Verdict verdict, Reason reason) {
+        metrics.refused(attempt.getContent().getService(), reason);
+        return CompletableFuture.completedFuture(
+                Answers.failure(verdict, reason, "refused by " + settings.nodeId()).toBuilder()
+                        .setAttemptId(attempt.getAttemptId())
+                        .build());
+    }
+
+    private void refuseWaiting(HomeUpstream upstream, Reason reason) {
+        upstream.gate().removeAll().forEach(work -> complete(work, Verdict.NOT_RUN, reason));
+    }
+
+    private void tick() {
+        long now = control.nowMillis();
+        long lease = settings.timing().announcementLease().millis();
+        upstreams.values().forEach(upstream -> {
+            upstream.noteOverdue(now);
+            upstream.gate().removeExpired(now).forEach(work -> complete(work, Verdict.NOT_RUN, Reason.DEADLINE_PASSED));
+            upstream.raiseLimit(now).forEach(work -> start(upstream, work));
+        });
+        List<HomeUpstream> lapsed = upstreams.values().stream()
+                .filter(upstream -> upstream.leaseOver(now, lease))
+                .toList();
+        lapsed.forEach(upstream -> {
+            LOG.infof(
+                    "upstream '%s' no longer announces itself",
+                    upstream.announcement().id());
+            refuseWaiting(upstream, Reason.NO_UPSTREAM);
+            upstreams.remove(upstream.announcement().id());
+        });
+        publish();
+    }
+
+    private void report() {
+        attempts.expire(control.nowMillis());
+        crashes.expire();
+        List<UpstreamSample> samples = upstreams.values().stream()
+                .map(upstream -> {
+                    Baseline.Sample sample = upstream.health().sample();
+                    return UpstreamSample.newBuilder()
+                            .setUpstreamId(upstream.announcement().id())
+                            .setService(upstream.announcement().service())
+                            .setRequests(sample.requests())
+                            .setFailures(sample.failures())
+                            .setMedianLatencyMicros(Math.round(sample.medianLatencyMillis() * 1_000))
+                            .build();
+                })
+                .toList();
+        groupHealth.report(samples, this::adoptBaseline);
+    }
+
+    private void adoptBaseline(ServiceBaseline usual) {
+        Baseline baseline =
+                new Baseline(usual.getFailureShare(), usual.getMedianLatencyMicros() / 1_000.0, usual.getUpstreams());
+        upstreams.values().stream()
+                .filter(upstream -> upstream.announcement().service().equals(usual.getService()))
+                .forEach(upstream -> upstream.health().baseline(baseline));
+    }
+
+    private void publish() {
+        long now = control.nowMillis();
+        List<UpstreamInfo> infos =
+                upstreams.values().stream().map(upstream -> info(upstream, now)).toList();
+        membership.publishUpstreams(infos);
+        upstreams.values().forEach(upstream -> upstream.gate().urgentRank(urgentRank(upstream)));
+    }
+
+    private String urgentRank(HomeUpstream upstream) {
+        return configuration
+                .intents()
+                .forService(Intent.Action.URGENT, upstream.announcement().service(), System.currentTimeMillis())
+                .map(Intent::argument)
+                .getOrElse("");
+    }
+
+    private UpstreamInfo info(HomeUpstream upstream, long now) {
+        Announcement announcement = upstream.announcement();
+        Condition condition = upstream.health().condition(now);
+        List<String> intentIds =
+                configuration
+                        .intents()
+                        .selecting(upstream.labels(membership.self()), System.currentTimeMillis())
+                        .stream()
+                        .map(Intent::id)
+                        .sorted()
+                        .toList();
+        return new UpstreamInfo(
+                announcement.id(),
+                announcement.service(),
+                announcement.state().equals("starting") ? 0 : announcement.slots(),
+                condition,
+                condition == Condition.HEALTHY ? 0 : upstream.health().severity(),
+                intentIds,
+                announcement.leaving());
+    }
+
+    /**
+     * What the home shares with the rest of its node.
+     *
+     * @param control the control thread
+     * @param settings the node's settings
+     * @param metrics the node's metrics
+     * @param crashes requests that crashed upstreams
+     */
+    public record HomeContext(
+            ControlThread control, NodeSettings settings, NodeMetrics metrics, CrashRegister crashes) {}
+}
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/backendserver/package-info.java
@@ -0,0 +1,2 @@
+/** Backend servers: announcements, queues, health and calls. */
+package org.sardineshunt.node.backendserver;
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/caller/CallerService.java
@@ -0,0 +1,297 @@
+package org.sardineshunt.node.caller;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import io.vavr.control.Option;
+import org.jboss.logging.Logger;
+import org.jboss.logging.MDC;
+import org.sardineshunt.coordination.Reason;
+import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.coordination.limit.AccountLimiter;
+import org.sardineshunt.kit.HttpCall;
+import org.sardineshunt.kit.HttpReply;
+import org.sardineshunt.kit.Json;
+import org.sardineshunt.node.Answers;
+import org.sardineshunt.node.NodeSettings.RouteSettings;
+import org.sardineshunt.node.RotationView;
+import org.sardineshunt.node.backendserver.HomeService;
+import org.sardineshunt.node.backendserver.HomeService.HomeContext;
+import org.sardineshunt.node.peer.PeerCalls;
+import org.sardineshunt.node.platform.ClaimStore;
+import org.sardineshunt.protocol.PeerMessages.Answer;
+import org.sardineshunt.protocol.PeerMessages.Handover;
+import org.sardineshunt.protocol.PeerMessages.Header;
+import org.sardineshunt.protocol.PeerMessages.KeyedRequest;
+import org.sardineshunt.protocol.PeerMessages.RequestContent;
+
+/**
+ * Answers callers. Requests are read and answers written on event loops; decisions run on the control thread.
+ *
+ * <p>Every answer carries {@code Sardineshunt-Verdict}, {@code Sardineshunt-Reason} and
+ * {@code Sardineshunt-Request-Id}.
+ */
+public final class CallerService {
+    /** Header with the idempotency key of a request. */
+    public static final String KEY_HEADER = "Idempotency-Key";
+    /** Header by which a caller promises that it never sent this key before. */
+    public static final String FIRST_SEND_HEADER = "Sardineshunt-First-Send";
+    /** Header with the time left for a request, in milliseconds. */
+    public static final String DEADLINE_HEADER = "Sardineshunt-Deadline-Left-Millis";
+    /** Header with the client account of a request. */
+    public static final String ACCOUNT_HEADER = "Sardineshunt-Account";
+
+    private static final Logger LOG = Logger.getLogger(CallerService.class);
+    private static final String ANONYMOUS = "anonymous";
+    private static final int LONGEST_KEY = 200;
+
+    private final HomeContext context;
+    private final PeerCalls peers;
+    private final Routes routes;
+    private final AccountLimiter accounts;
+    private final HomeChoice choice;
+    private final Dispatcher dispatcher;
+    private final KeyService keys;
+    private long lastRequest;
+    private boolean ready;
+    private boolean closing;
+    private boolean stopping;
+    private int inFlight;
+
+    /** Creates the service; it refuses requests until it is told that the node is ready. */
+    public CallerService(
+            HomeContext context,
+            PeerCalls peers,
+            HomeService home,
+            RotationView rotations,
+            ClaimStore claims,
+            Random random) {
+        this.context = context;
+        this.peers = peers;
+        this.routes = new Routes(context.settings().routes());
+        this.accounts = new AccountLimiter(
+                context.settings().accounts().requestsPerSecond(),
+                context.settings().accounts().burst(),
+                context.settings().accounts().kept());
+        this.choice = new HomeChoice(rotations, peers.self(), random);
+        this.dispatcher = new Dispatcher(context.control(), peers, home, choice, context.crashes(), context.metrics());
+        this.keys = new KeyService(
+                context.control(),
+                peers,
+                dispatcher,
+                claims,
+                context.settings().limits().keptKeys());
+        context.control().every(1_000, () -> choice.forgetOld(context.control().nowMillis()));
+    }
+
+    /** Answers a caller's request; may be called from any thread. */
+    public CompletionStage<HttpReply> handle(HttpCall call) {
+        CompletableFuture<HttpReply> result = new CompletableFuture<>();
+        long startedNanos = System.nanoTime();
+        context.control().execute(() -> accept(call, startedNanos, result));
+        return result;
+    }
+
+    /** Answers a request for a ticket; may be called from any thread. */
+    public CompletionStage<HttpReply> issueTicket() {
+        return context.control().ask(() -> {
+            boolean refused = !ready || closing;
+            return refused
+                    ? HttpReply.problem(503, "no tickets now", "the node starts or stops")
+                    : HttpReply.json(200, new TicketBody(keys.issue().text()));
+        });
+    }
+
+    /** Lets the service take requests, or refuse them until it is told again. */
+    public void ready(boolean nowReady) {
+        ready = nowReady;
+    }
+
+    /** Asks callers to close their connections from now on; requests are still served. */
+    public void startClosing() {
+        closing = true;
+    }
+
+    /** Refuses all new requests from now on. */
+    public void stopTaking() {
+        stopping = true;
+    }
+
+    /** Returns the requests of callers and peers that have not ended. */
+    public int inFlight() {
+        return inFlight + dispatcher.inFlight();
+    }
+
+    /** Runs a request whose ticket this node answers for. */
+    public CompletableFuture<Answer> runKeyed(KeyedRequest request) {
+        inFlight++;
+        return keys.runHere(request).whenComplete((answer, failure) -> inFlight--);
+    }
+
+    /** Takes over the outcomes of a node that stops. */
+    public boolean adopt(Handover handover) {
+        return keys.adopt(handover);
+    }
+
+    /** Passes all outcomes of keyed requests on to another node; returns its id, or an empty text. */
+    public CompletableFuture<String> handOver() {
+        return keys.handOver();
+    }
+
+    private void accept(HttpCall call, long startedNanos, CompletableFuture<HttpReply> result) {
+        String requestId = nextRequestId();
+        Option<RouteSettings> route = routes.find(call.method(), call.path());
+        inFlight++;
+        route(call, requestId, route).whenComplete((answer, failure) -> {
+            inFlight--;
+            Answer ended = failure == null
+                    ? answer
+                    : Answers.failure(Verdict.MAY_HAVE_RUN, Reason.KEY_OUTCOME_UNKNOWN, String.valueOf(failure));
+            String rank = route.map(RouteSettings::rank).getOrElse("none");
+            double seconds = (System.nanoTime() - startedNanos) / 1e9;
+            context.metrics().answered(rank, Answers.verdict(ended).label(), Answers.reason(ended), seconds);
+            log(call, requestId, rank, ended);
+            result.complete(reply(call, requestId, ended));
+        });
+    }
+
+    private CompletableFuture<Answer> route(HttpCall call, String requestId, Option<RouteSettings> found) {
+        boolean mayRepeat = mayRepeat(call, found);
+        if (!ready || stopping) {
+            return refuse(mayRepeat, stopping ? Reason.SHUTTING_DOWN : Reason.NOT_READY, "the node starts or stops");
+        }
+        if (found.isEmpty()) {
+            return refuse(false, Reason.NO_ROUTE, "no route for " + call.method() + ' ' + call.path());
+        }
+        RouteSettings route = found.get();
+        String account = call.header(ACCOUNT_HEADER).getOrElse(ANONYMOUS);
+        if (!accounts.tryAcquire(context.control().nowMillis(), account)) {
+            return refuse(mayRepeat, Reason.ACCOUNT_LIMIT, "account '" + account + "' sends too many requests");
+        }
+        Option<String> key = call.header(KEY_HEADER);
+        if (key.exists(text -> text.isBlank() || text.length() > LONGEST_KEY)) {
+            return refuse(
+                    mayRepeat, Reason.MALFORMED_REQUEST, KEY_HEADER + " is not 1 to " + LONGEST_KEY + " characters");
+        }
+        if (key.isEmpty() && route.keyRequired()) {
+            return refuse(false, Reason.KEY_REQUIRED, "this route requires the header " + KEY_HEADER);
+        }
+        return deadline(call, route)
+                .map(millis -> content(call, requestId, route, millis))
+                .map(content -> key.isEmpty() || route.idempotent()
+                        ? dispatcher.dispatch(content)
+                        : keyed(call, route, account, key.get(), content))
+                .getOrElse(() ->
+                        refuse(mayRepeat, Reason.MALFORMED_REQUEST, DEADLINE_HEADER + " is not a positive number"));
+    }
+
+    private CompletableFuture<Answer> keyed(
+            HttpCall call, RouteSettings route, String account, String key, RequestContent content) {
+        boolean firstSend = call.header(FIRST_SEND_HEADER).contains("true");
+        return keys.run(route.service() + '/' + account, key, content).thenApply(answer -> {
+            boolean neverClaimed = Answers.reason(answer) == Reason.PLATFORM_UNAVAILABLE
+                    || Answers.reason(answer) == Reason.CLAIM_LIMIT;
+            return firstSend && neverClaimed
+                    ? answer.toBuilder()
+                            .setVerdict(Verdict.NOT_RUN.ordinal())
+                            .addHeaders(Header.newBuilder()
+                                    .setName("Sardineshunt-Ticket")
+                                    .setValue(keys.issue().text()))
+                            .build()
+                    : answer;
+        });
+    }
+
+    private static Option<Long> deadline(HttpCall call, RouteSettings route) {
+        long usual = route.deadline().millis();
+        return call.header(DEADLINE_HEADER)
+                .map(text -> text.matches("[1-9]\\d{0,8}")
+                        ? Option.some(Math.min(usual, Long.parseLong(text)))
+                        : Option.<Long>none())
+                .getOrElse(() -> Option.some(usual));
+    }
+
+    private static RequestContent content(HttpCall call, String requestId, RouteSettings route, long deadlineMillis) {
+        RequestContent.Builder content = RequestContent.newBuilder()
+                .setRequestId(requestId)
+                .setService(route.service())
+                .setRank(route.rank())
+                .setIdempotent(route.idempotent())
+                .setDeadlineLeftMillis(deadlineMillis)
+                .setMethod(call.method())
+                .setTarget(call.target())
+                .setBody(com.google.protobuf.ByteString.copyFrom(call.body()))
+                .setFingerprint(Fingerprint.of(route.service(), call));
+        call.headers().forEach((name, value) -> {
+            if (!name.regionMatches(true, 0, "Sardineshunt-", 0, "Sardineshunt-".length())) {
+                content.addHeaders(Header.newBuilder().setName(name).setValue(value));
+            }
+        });
+        return content.build();
+    }
+
+    private HttpReply reply(HttpCall call, String requestId, Answer answer) {
+        boolean hasContent = Answers.verdict(answer) == Verdict.RAN || Answers.reason(answer) == Reason.SERVER_ERROR;
+        List<Map.Entry<String, String>> headers = new ArrayList<>();
+        answer.getHeadersList().forEach(header -> headers.add(Map.entry(header.getName(), header.getValue())));
+        headers.add(Map.entry("Sardineshunt-Verdict", Answers.verdict(answer).label()));
+        headers.add(Map.entry("Sardineshunt-Reason", Answers.reason(answer).label()));
+        headers.add(Map.entry("Sardineshunt-Request-Id", requestId));
+        if (closing) {
+            headers.add(Map.entry("Connection", "close"));
+        }
+        if (hasContent) {
+            byte[] body = answer.getBody().toByteArray();
+            return new HttpReply(answer.getStatus(), headers, body);
+        }
+        headers.add(Map.entry("Content-Type", "application/problem+json"));
+        Problem problem = new Problem(
+                Answers.reason(answer).label(),
+                answer.getStatus(),
+                answer.getDetail(),
+                Answers.verdict(answer).label());
+        byte[] body = (Json.line(problem) + "\n").getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        return new HttpReply(answer.getStatus(), headers, body);
+    }
+
+    private void log(HttpCall call, String requestId, String rank, Answer answer) {
+        if (!LOG.isInfoEnabled() || Answers.verdict(answer) == Verdict.RAN) {
+            return;
+        }
+        MDC.put("request", requestId);
+        MDC.put("rank", rank);
+        MDC.put("verdict", Answers.verdict(answer).label());
+        MDC.put("reason", answer.getReason());
+        LOG.debugf("%s %s failed: %s", call.method(), call.path(), answer.getDetail());
+        MDC.clear();
+    }
+
+    private String nextRequestId() {
+        lastRequest++;
+        return peers.selfId()
+                + '-'
+                + Long.toString(peers.self().incarnation(), 36)
+                + '-'
+                + Long.toString(lastRequest, 36);
+    }
+
+    // An earlier request with the same key may have run, so a refusal that did not look at the key proves nothing.
+    private static boolean mayRepeat(HttpCall call, Option<RouteSettings> route) {
+        return call.header(KEY_HEADER).isDefined()
+                && !call.header(FIRST_SEND_HEADER).contains("true")
+                && route.exists(found -> !found.idempotent());
+    }
+
+    private static CompletableFuture<Answer> refuse(boolean mayRepeat, Reason reason, String detail) {
+        Verdict verdict = mayRepeat ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+        return CompletableFuture.completedFuture(Answers.failure(verdict, reason, detail));
+    }
+
+    private record TicketBody(String ticket) {}
+
+    private record Problem(String title, int status, String detail, String verdict) {}
+}
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/caller/Dispatcher.java
@@ -0,0 +1,285 @@
+package org.sardineshunt.node.caller;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+import org.jboss.logging.Logger;
+import org.jboss.logging.MDC;
+import org.sardineshunt.coordination.Reason;
+import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.coordination.retry.RetryBudget;
+import org.sardineshunt.coordination.retry.RetryPolicy;
+import org.sardineshunt.node.Answers;
+import org.sardineshunt.node.ControlThread;
+import org.sardineshunt.node.NodeMetrics;
+import org.sardineshunt.node.backendserver.HomeService;
+import org.sardineshunt.node.peer.CrashRegister;
+import org.sardineshunt.node.peer.LinkFailure;
+import org.sardineshunt.node.peer.PeerCalls;
+import org.sardineshunt.protocol.PeerMessages.Abandon;
+import org.sardineshunt.protocol.PeerMessages.AbandonReply;
+import org.sardineshunt.protocol.PeerMessages.Answer;
+import org.sardineshunt.protocol.PeerMessages.Attempt;
+import org.sardineshunt.protocol.PeerMessages.Envelope;
+import org.sardineshunt.protocol.PeerMessages.RequestContent;
+
+/**
+ * Brings a request to home nodes until it is answered, may have run, or runs out of attempts or time. Belongs to the
+ * control thread.
+ *
+ * <p>When a link is lost the home is asked over a new connection to abandon the attempt: its reply says whether the
+ * attempt never runs, still runs, or what its answer was.
+ */
+final class Dispatcher {
+    private static final Logger LOG = Logger.getLogger(Dispatcher.class);
+    private static final double RETRY_SHARE = 0.1;
+    private static final double RETRY_RESERVE = 10;
+    private static final int MOST_ATTEMPTS = 3;
+    private static final long MINIMUM_LEFT_MILLIS = 5;
+    private static final long REPLY_MARGIN_MILLIS = 100;
+    private static final long ABANDON_TIMEOUT_MILLIS = 1_500;
+    private static final long RUNNING_POLL_MILLIS = 100;
+
+    private final ControlThread control;
+    private final PeerCalls peers;
+    private final HomeService ownHome;
+    private final HomeChoice choice;
+    private final CrashRegister crashes;
+    private final NodeMetrics metrics;
+    private final RetryPolicy policy = new RetryPolicy(MOST_ATTEMPTS, MINIMUM_LEFT_MILLIS);
+    private final Map<String, RetryBudget> budgets = new HashMap<>();
+    private int inFlight;
+
+    Dispatcher(
+            ControlThread control,
+            PeerCalls peers,
+            HomeService ownHome,
+            HomeChoice choice,
+            CrashRegister crashes,
+            NodeMetrics metrics) {
+        this.control = control;
+        this.peers = peers;
+        this.ownHome = ownHome;
+        this.choice = choice;
+        this.crashes = crashes;
+        this.metrics = metrics;
+    }
+
+    /** Dispatches a request; the future never fails. */
+    CompletableFuture<Answer> dispatch(RequestContent content) {
+        long deadline = control.nowMillis() + content.getDeadlineLeftMillis();
+        Flow flow = new Flow(content, deadline);
+        budget(content.getService()).recordFirstAttempt();
+        inFlight++;
+        flow.result.whenComplete((answer, failure) -> inFlight--);
+        attempt(flow);
+        return flow.result;
+    }
+
+    int inFlight() {
+        return inFlight;
+    }
+
+    private void attempt(Flow flow) {
+        long now = control.nowMillis();
+        if (crashes.refuses(flow.content.getFingerprint())) {
+            flow.end(Answers.failure(flow.verdictSoFar, Reason.CRASHING_REQUEST, "the request crashes upstreams"));
+            return;
+        }
+        Optional<HomeChoice.Choice> chosen =
+                choice.choose(now, flow.content.getService(), flow.content.getIdempotent(), flow.tried);
+        if (chosen.isEmpty()) {
+            flow.end(Answers.failure(
+                    flow.verdictSoFar,
+                    flow.attempts == 0 ? Reason.NO_UPSTREAM : flow.lastReason,
+                    "no upstream of service '" + flow.content.getService() + "' is in rotation"));
+            return;
+        }
+        send(flow, chosen.get());
+    }
+
+    private void send(Flow flow, HomeChoice.Choice chosen) {
+        long left = flow.deadlineMillis - control.nowMillis();
+        flow.attempts++;
+        String attemptId = flow.content.getRequestId() + '.' + flow.attempts;
+        String nodeId = chosen.home().nodeId();
+        Attempt attempt = Attempt.newBuilder()
+                .setAttemptId(attemptId)
+                .setTrial(chosen.trial())
+                .setContent(flow.content.toBuilder().setDeadlineLeftMillis(left))
+                .build();
+        choice.sent(nodeId);
+        CompletableFuture<Answer> answer = nodeId.equals(peers.selfId())
+                ? ownHome.attempt(attempt)
+                : peers.call(
+                                chosen.home(),
+                                Envelope.newBuilder().setAttempt(attempt).build(),
+                                left + REPLY_MARGIN_MILLIS)
+                        .thenApply(Envelope::getAnswer);
+        answer.whenComplete((reply, failure) -> {
+            choice.ended(nodeId);
+            if (failure == null) {
+                answered(flow, chosen, attemptId, reply);
+            } else {
+                linkFailed(flow, chosen, attemptId, (LinkFailure) failure);
+            }
+        });
+    }
+
+    private void answered(Flow flow, HomeChoice.Choice chosen, String attemptId, Answer answer) {
+        if (!answer.getAttemptId().equals(attemptId)) {
+            metrics.droppedAnswer(Reason.ANSWER_CROSSED);
+            failed(
+                    flow,
+                    chosen,
+                    Answers.failure(Verdict.MAY_HAVE_RUN, Reason.ANSWER_CROSSED, "answer of another attempt"));
+            return;
+        }
+        if (answer.hasLoad()) {
+            choice.learnLoad(control.nowMillis(), chosen.home().nodeId(), answer.getLoad());
+        }
+        if (answer.getUpstreamCrashed()) {
+            crashes.recordCrash(flow.content.getFingerprint(), answer.getUpstreamId());
+        }
+        if (Answers.verdict(answer) == Verdict.RAN) {
+            flow.end(answer);
+            return;
+        }
+        failed(flow, chosen, answer);
+    }
+
+    private void failed(Flow flow, HomeChoice.Choice chosen, Answer failure) {
+        Reason reason = Answers.reason(failure);
+        Verdict verdict = Answers.verdict(failure);
+        String nodeId = chosen.home().nodeId();
+        choice.penalise(control.nowMillis(), nodeId, reason);
+        flow.tried.add(nodeId);
+        flow.lastReason = reason;
+        flow.verdictSoFar = flow.verdictSoFar == Verdict.NOT_RUN ? verdict : flow.verdictSoFar;
+        logFailure(flow, failure);
+        long left = flow.deadlineMillis - control.nowMillis();
+        policy.next(
+                        new RetryPolicy.Failure(flow.attempts, verdict, reason),
+                        flow.content.getIdempotent(),
+                        left,
+                        budget(flow.content.getService()))
+                .peek(next -> {
+                    metrics.retried(reason);
+                    attempt(flow);
+                })
+                .peekLeft(why -> flow.end(ending(flow, failure, why)));
+    }
+
+    private static Answer ending(Flow flow, Answer failure, Reason why) {
+        return why == Answers.reason(failure)
+                ? failure.toBuilder().setVerdict(flow.verdictSoFar.ordinal()).build()
+                : Answers.failure(flow.verdictSoFar, why, failure.getReason() + ": " + failure.getDetail());
+    }
+
+    private void linkFailed(Flow flow, HomeChoice.Choice chosen, String attemptId, LinkFailure failure) {
+        if (failure.kind() == LinkFailure.Kind.NOT_SENT) {
+            failed(flow, chosen, Answers.failure(Verdict.NOT_RUN, Reason.NODE_UNREACHABLE, failure.getMessage()));
+            return;
+        }
+        Reason reason = failure.kind() == LinkFailure.Kind.TIMED_OUT ? Reason.DEADLINE_PASSED : Reason.LINK_LOST;
+        Answer unresolved = Answers.failure(Verdict.MAY_HAVE_RUN, reason, failure.getMessage());
+        choice.penalise(control.nowMillis(), chosen.home().nodeId(), reason);
+        if (flow.content.getIdempotent()) {
+            resolve(flow, chosen, attemptId, failure, unresolved);
+            failed(flow, chosen, unresolved);
+            return;
+        }
+        resolve(flow, chosen, attemptId, failure, unresolved)
+                .thenAccept(resolved -> answeredAfterLoss(flow, chosen, resolved));
+    }
+
+    private void answeredAfterLoss(Flow flow, HomeChoice.Choice chosen, Answer resolved) {
+        if (Answers.verdict(resolved) == Verdict.RAN) {
+            flow.end(resolved);
+        } else {
+            failed(flow, chosen, resolved);
+        }
+    }
+
+    /** Asks the home over a new connection what became of an attempt whose reply was lost. */
+    private CompletableFuture<Answer> resolve(
+            Flow flow, HomeChoice.Choice chosen, String attemptId, LinkFailure failure, Answer unresolved) {
+        long left = flow.deadlineMillis - control.nowMillis();
+        Envelope message = Envelope.newBuilder()
+                .setAbandon(Abandon.newBuilder()
+                        .setAttemptId(attemptId)
+                        .setHomeIncarnation(failure.incarnation())
+                        .setRememberMillis(Math.max(0, left) + ABANDON_TIMEOUT_MILLIS * 10))
+                .build();
+        return peers.callOnNewLink(chosen.home(), message, ABANDON_TIMEOUT_MILLIS)
+                .handle((reply, lost) -> lost != null
+                        ? CompletableFuture.completedFuture(unresolved)
+                        : resolution(flow, chosen, attemptId, failure, unresolved, reply.getAbandonReply()))
+                .thenCompose(result -> result);
+    }
+
+    private CompletableFuture<Answer> resolution(
+            Flow flow,
+            HomeChoice.Choice chosen,
+            String attemptId,
+            LinkFailure failure,
+            Answer unresolved,
+            AbandonReply reply) {
+        switch (reply.getState()) {
+            case NOT_RUN:
+                return CompletableFuture.completedFuture(
+                        Answers.failure(Verdict.NOT_RUN, Answers.reason(unresolved), "abandoned before it started"));
+            case FINISHED:
+                return CompletableFuture.completedFuture(reply.getAnswer());
+            case RUNNING:
+                if (flow.deadlineMillis + ABANDON_TIMEOUT_MILLIS < control.nowMillis()) {
+                    return CompletableFuture.completedFuture(unresolved);
+                }
+                CompletableFuture<Answer> later = new CompletableFuture<>();
+                control.after(RUNNING_POLL_MILLIS, () -> resolve(flow, chosen, attemptId, failure, unresolved)
+                        .thenAccept(later::complete));
+                return later;
+            default:
+                return CompletableFuture.completedFuture(unresolved);
+        }
+    }
+
+    private void logFailure(Flow flow, Answer failure) {
+        MDC.put("request", flow.content.getRequestId());
+        MDC.put("attempt", flow.content.getRequestId() + '.' + flow.attempts);
+        MDC.put("service", flow.content.getService());
+        MDC.put("rank", flow.content.getRank());
+        MDC.put("verdict", Answers.verdict(failure).label());
+        MDC.put("reason", failure.getReason());
+        LOG.debugf("attempt failed: %s", failure.getDetail());
+        MDC.clear();
+    }
+
+    private RetryBudget budget(String service) {
+        return budgets.computeIfAbsent(service, key -> new RetryBudget(RETRY_SHARE, RETRY_RESERVE));
+    }
+
+    /** One request on its way. */
+    private static final class Flow {
+        private final RequestContent content;
+        private final long deadlineMillis;
+        private final CompletableFuture<Answer> result = new CompletableFuture<>();
+        private final Set<String> tried = new HashSet<>();
+        private Verdict verdictSoFar = Verdict.NOT_RUN;
+        private Reason lastReason = Reason.NO_UPSTREAM;
+        private int attempts;
+
+        private Flow(RequestContent content, long deadlineMillis) {
+            this.content = content;
+            this.deadlineMillis = deadlineMillis;
+        }
+
+        private void end(Answer answer) {
+            result.complete(answer);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/caller/Fingerprint.java
@@ -0,0 +1,26 @@
+package org.sardineshunt.node.caller;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+import org.sardineshunt.kit.HttpCall;
+
+/** Recognises a repeated request by a hash of its service, method, target and body. */
+final class Fingerprint {
+    private static final int BYTES = 12;
+
+    private Fingerprint() {}
+
+    static String of(String service, HttpCall call) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            digest.update(
+                    (service + '\n' + call.method() + '\n' + call.target() + '\n').getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(digest.digest(call.body()), 0, BYTES);
+        } catch (NoSuchAlgorithmException impossible) {
+            throw new IllegalStateException("every Java platform has SHA-256", impossible);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/caller/HomeChoice.java
@@ -0,0 +1,130 @@
+package org.sardineshunt.node.caller;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.sardineshunt.coordination.Reason;
+import org.sardineshunt.coordination.membership.Member;
+import org.sardineshunt.coordination.rotation.Placement;
+import org.sardineshunt.node.RotationView;
+import org.sardineshunt.node.RotationView.Located;
+import org.sardineshunt.node.RotationView.ServiceView;
+import org.sardineshunt.protocol.PeerMessages.HomeLoad;
+
+/**
+ * Chooses the home node of the next attempt: the better of two random ones by load, distance and recent failures.
+ * Belongs to the control thread.
+ */
+final class HomeChoice {
+    private static final long LOAD_LIFE_MILLIS = 500;
+    private static final long PENALTY_MILLIS = 2_000;
+    private static final double OTHER_DATA_CENTRE_COST = 0.25;
+    private static final double OTHER_REGION_COST = 4;
+    private static final double PENALTY_COST = 1_000;
+    private static final double TRIAL_SHARE = 0.05;
+
+    private final RotationView rotations;
+    private final Random random;
+    private final Member self;
+    private final Map<String, NodeLoad> loads = new HashMap<>();
+    private final Map<String, Integer> outstanding = new HashMap<>();
+    private final Map<String, Long> penalisedUntil = new HashMap<>();
+
+    HomeChoice(RotationView rotations, Member self, Random random) {
+        this.rotations = rotations;
+        this.self = self;
+        this.random = random;
+    }
+
+    /**
+     * Returns the home for an attempt.
+     *
+     * @param tried homes that failed this request; they are chosen only if there is no other
+     */
+    Optional<Choice> choose(long nowMillis, String service, boolean idempotent, Set<String> tried) {
+        ServiceView view = rotations.of(service);
+        List<Located> onTrial = view.with(Placement.Use.TRIAL);
+        if (idempotent && tried.isEmpty() && !onTrial.isEmpty() && random.nextDouble() < TRIAL_SHARE) {
+            return Optional.of(
+                    new Choice(onTrial.get(random.nextInt(onTrial.size())).member(), true));
+        }
+        Map<Member, Integer> slots = view.with(Placement.Use.FULL).stream()
+                .collect(Collectors.groupingBy(Located::member, Collectors.summingInt(located -> located.upstream()
+                        .slots())));
+        List<Map.Entry<Member, Integer>> untried = slots.entrySet().stream()
+                .filter(entry -> !tried.contains(entry.getKey().nodeId()))
+                .sorted(java.util.Comparator.comparing(entry -> entry.getKey().nodeId()))
+                .toList();
+        List<Map.Entry<Member, Integer>> candidates = untried.isEmpty()
+                ? slots.entrySet().stream()
+                        .sorted(java.util.Comparator.comparing(
+                                entry -> entry.getKey().nodeId()))
+                        .toList()
+                : untried;
+        return betterOfTwo(nowMillis, candidates).map(member -> new Choice(member, false));
+    }
+
+    void sent(String nodeId) {
+        outstanding.merge(nodeId, 1, Integer::sum);
+    }
+
+    void ended(String nodeId) {
+        outstanding.computeIfPresent(nodeId, (id, count) -> count <= 1 ? null : count - 1);
+    }
+
+    void learnLoad(long nowMillis, String nodeId, HomeLoad load) {
+        loads.put(nodeId, new NodeLoad(load, nowMillis));
+    }
+
+    void penalise(long nowMillis, String nodeId, Reason reason) {
+        if (reason == Reason.NODE_UNREACHABLE || reason == Reason.LINK_LOST || reason == Reason.SHUTTING_DOWN) {
+            penalisedUntil.put(nodeId, nowMillis + PENALTY_MILLIS);
+        }
+    }
+
+    void forgetOld(long nowMillis) {
+        loads.values().removeIf(load -> nowMillis - load.atMillis() > LOAD_LIFE_MILLIS);
+        penalisedUntil.values().removeIf(until -> until <= nowMillis);
+    }
+
+    private Optional<Member> betterOfTwo(long nowMillis, List<Map.Entry<Member, Integer>> candidates) {
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
+        Map.Entry<Member, Integer> first = candidates.get(random.nextInt(candidates.size()));
+        Map.Entry<Member, Integer> second = candidates.get(random.nextInt(candidates.size()));
+        return Optional.of(cost(nowMillis, first) <= cost(nowMillis, second) ? first.getKey() : second.getKey());
+    }
+
+    private double cost(long nowMillis, Map.Entry<Member, Integer> candidate) {
+        Member member = candidate.getKey();
+        NodeLoad known = loads.get(member.nodeId());
+        boolean fresh = known != null && nowMillis - known.atMillis() <= LOAD_LIFE_MILLIS;
+        int reported = fresh ? known.load().getInFlight() + known.load().getQueued() : 0;
+        int busy = Math.max(reported, outstanding.getOrDefault(member.nodeId(), 0));
+        double penalty = penalisedUntil.getOrDefault(member.nodeId(), 0L) > nowMillis ? PENALTY_COST : 0;
+        return (busy + 1.0) / Math.max(1, candidate.getValue()) + distance(member) + penalty;
+    }
+
+    private double distance(Member member) {
+        if (!member.place().region().equals(self.place().region())) {
+            return OTHER_REGION_COST;
+        }
+        return member.place().dataCentre().equals(self.place().dataCentre()) ? 0 : OTHER_DATA_CENTRE_COST;
+    }
+
+    /**
+     * A chosen home.
+     *
+     * @param home the node
+     * @param trial whether the attempt tests an upstream that was out
+     */
+    record Choice(Member home, boolean trial) {}
+
+    private record NodeLoad(HomeLoad load, long atMillis) {}
+}
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/caller/KeyService.java
@@ -0,0 +1,246 @@
+package org.sardineshunt.node.caller;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import org.sardineshunt.coordination.Reason;
+import org.sardineshunt.coordination.Rendezvous;
+import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.coordination.membership.Member;
+import org.sardineshunt.coordination.once.KeyLedger;
+import org.sardineshunt.coordination.once.Ticket;
+import org.sardineshunt.node.Answers;
+import org.sardineshunt.node.ControlThread;
+import org.sardineshunt.node.peer.LinkFailure;
+import org.sardineshunt.node.peer.PeerCalls;
+import org.sardineshunt.node.platform.ClaimStore;
+import org.sardineshunt.protocol.PeerMessages.Answer;
+import org.sardineshunt.protocol.PeerMessages.Envelope;
+import org.sardineshunt.protocol.PeerMessages.Handover;
+import org.sardineshunt.protocol.PeerMessages.HandoverEntry;
+import org.sardineshunt.protocol.PeerMessages.KeyedRequest;
+import org.sardineshunt.protocol.PeerMessages.RequestContent;
+
+/**
+ * Runs keyed requests at most once. Belongs to the control thread.
+ *
+ * <p>Every key leads to a ticket, and every ticket to the one incarnation that issued it, or to the node that this
+ * incarnation handed its outcomes to. When that node can't be asked, the answer is that the request may have run.
+ */
+final class KeyService {
+    private static final long RETENTION_MILLIS = 600_000;
+    private static final long CALL_MARGIN_MILLIS = 3_000;
+    private static final long HANDOVER_TIMEOUT_MILLIS = 2_000;
+    private static final int LONGEST_KEPT_BODY = 64 << 10;
+    private static final int LONGEST_SUCCESSOR_CHAIN = 16;
+
+    private final ControlThread control;
+    private final PeerCalls peers;
+    private final Dispatcher dispatcher;
+    private final ClaimStore claims;
+    private final int capacity;
+    private final KeyLedger<Answer> own;
+    private final Map<String, KeyLedger<Answer>> adopted = new HashMap<>();
+    private final Map<String, CompletableFuture<Answer>> running = new HashMap<>();
+    private boolean sealed;
+
+    KeyService(ControlThread control, PeerCalls peers, Dispatcher dispatcher, ClaimStore claims, int capacity) {
+        this.control = control;
+        this.peers = peers;
+        this.dispatcher = dispatcher;
+        this.claims = claims;
+        this.capacity = capacity;
+        this.own = new KeyLedger<>(peers.selfId(), peers.self().incarnation(), capacity, RETENTION_MILLIS);
+    }
+
+    /** Returns a fresh ticket. */
+    Ticket issue() {
+        return own.issue();
+    }
+
+    /** Runs a request under the key that its caller chose, or under a ticket. */
+    CompletableFuture<Answer> run(String scope, String key, RequestContent content) {
+        return Ticket.parse(key).map(ticket -> runAtAuthority(ticket, content)).getOrElse(() -> claims.claim(
+                        scope + '/' + key, own::issue)
+                .thenCompose(claimed -> claimed.fold(
+                        reason -> CompletableFuture.completedFuture(Answers.failure(
+                                Verdict.MAY_HAVE_RUN, reason, "it can't be known whether this key was used before")),
+                        ticket -> runAtAuthority(ticket, content))));
+    }
+
+    /** Runs a request whose ticket this node answers for. */
+    CompletableFuture<Answer> runHere(KeyedRequest request) {
+        return Ticket.parse(request.getTicket())
+                .map(ticket -> runHere(ticket, request.getContent()))
+                .getOrElse(() -> CompletableFuture.completedFuture(
+                        Answers.failure(Verdict.NOT_RUN, Reason.TICKET_UNKNOWN, "not a ticket")));
+    }
+
+    /** Takes over the outcomes of a node that stops. */
+    boolean adopt(Handover handover) {
+        List<KeyLedger.Outcome<Answer>> outcomes = handover.getEntriesList().stream()
+                .map(entry -> new KeyLedger.Outcome<>(
+                        entry.getSequence(),
+                        entry.getFingerprint(),
+                        KeyLedger.State.values()[entry.getState()],
+                        entry.hasAnswer() ? entry.getAnswer() : null))
+                .toList();
+        KeyLedger.Handover<Answer> received = new KeyLedger.Handover<>(
+                handover.getNodeId(),
+                handover.getIncarnation(),
+                handover.getLastIssued(),
+                handover.getEvictedThrough(),
+                outcomes);
+        adopted.put(
+                ledgerKey(handover.getNodeId(), handover.getIncarnation()),
+                KeyLedger.adopt(control.nowMillis(), received, capacity, RETENTION_MILLIS));
+        return true;
+    }
+
+    /**
+     * Stops running keyed requests and passes all outcomes on to another node.
+     *
+     * @return the successor's id, or an empty text if there is none
+     */
+    CompletableFuture<String> handOver() {
+        sealed = true;
+        Optional<Member> successor = successor();
+        if (successor.isEmpty()) {
+            return CompletableFuture.completedFuture("");
+        }
+        List<CompletableFuture<Boolean>> confirmations = java.util.stream.Stream.concat(
+                        java.util.stream.Stream.of(own), adopted.values().stream())
+                .map(ledger -> send(successor.get(), ledger.handover()))
+                .toList();
+        return CompletableFuture.allOf(confirmations.toArray(new CompletableFuture<?>[0]))
+                .thenApply(done -> successor.get().nodeId());
+    }
+
+    private CompletableFuture<Boolean> send(Member successor, KeyLedger.Handover<Answer> handover) {
+        Handover.Builder message = Handover.newBuilder()
+                .setNodeId(handover.nodeId())
+                .setIncarnation(handover.incarnation())
+                .setLastIssued(handover.lastIssued())
+                .setEvictedThrough(handover.evictedThrough());
+        handover.outcomes().forEach(outcome -> message.addEntries(entry(outcome)));
+        return peers.call(successor, Envelope.newBuilder().setHandover(message).build(), HANDOVER_TIMEOUT_MILLIS)
+                .thenApply(reply -> reply.getConfirmation().getAccepted())
+                .exceptionally(failure -> false);
+    }
+
+    private static HandoverEntry entry(KeyLedger.Outcome<Answer> outcome) {
+        HandoverEntry.Builder entry = HandoverEntry.newBuilder()
+                .setSequence(outcome.sequence())
+                .setFingerprint(outcome.fingerprint())
+                .setState(outcome.state().ordinal());
+        if (outcome.answer() != null) {
+            entry.setAnswer(outcome.answer());
+        }
+        return entry.build();
+    }
+
+    private Optional<Member> successor() {
+        List<Member> others = peers.table()
+                .reachable()
+                .filter(member -> !member.nodeId().equals(peers.selfId()))
+                .toList();
+        List<String> local = others.stream()
+                .filter(member ->
+                        member.place().dataCentre().equals(peers.self().place().dataCentre()))
+                .map(Member::nodeId)
+                .toList();
+        List<String> pool =
+                local.isEmpty() ? others.stream().map(Member::nodeId).toList() : local;
+        return Rendezvous.choose("successor/" + peers.selfId(), pool, 1).stream()
+                .findFirst()
+                .flatMap(peers.table()::find);
+    }
+
+    private CompletableFuture<Answer> runAtAuthority(Ticket ticket, RequestContent content) {
+        if (ledger(ticket) != null) {
+            return runHere(ticket, content);
+        }
+        Optional<Member> authority = authority(ticket);
+        if (authority.isEmpty()) {
+            return unknown("the node that issued the ticket is gone");
+        }
+        Envelope message = Envelope.newBuilder()
+                .setKeyedRequest(
+                        KeyedRequest.newBuilder().setTicket(ticket.text()).setContent(content))
+                .build();
+        return peers.call(authority.get(), message, content.getDeadlineLeftMillis() + CALL_MARGIN_MILLIS)
+                .handle((reply, failure) -> failure == null ? reply.getAnswer() : unreachable((LinkFailure) failure));
+    }
+
+    private static Answer unreachable(LinkFailure failure) {
+        // Also when nothing was sent now: an earlier request with the same ticket may have run.
+        return Answers.failure(Verdict.MAY_HAVE_RUN, Reason.KEY_AUTHORITY_UNREACHABLE, failure.getMessage());
+    }
+
+    private Optional<Member> authority(Ticket ticket) {
+        Optional<Member> member = peers.table().find(ticket.nodeId());
+        boolean restarted = member.isPresent() && member.get().incarnation() != ticket.incarnation();
+        if (restarted) {
+            return Optional.empty();
+        }
+        for (int steps = 0; steps < LONGEST_SUCCESSOR_CHAIN && member.isPresent(); steps++) {
+            if (member.get().state() != Member.State.LEFT) {
+                return member;
+            }
+            member = peers.table().find(member.get().successor());
+        }
+        return Optional.empty();
+    }
+
+    private KeyLedger<Answer> ledger(Ticket ticket) {
+        boolean mine = ticket.nodeId().equals(peers.selfId())
+                && ticket.incarnation() == peers.self().incarnation();
+        return mine ? own : adopted.get(ledgerKey(ticket.nodeId(), ticket.incarnation()));
+    }
+
+    private CompletableFuture<Answer> runHere(Ticket ticket, RequestContent content) {
+        KeyLedger<Answer> ledger = ledger(ticket);
+        if (ledger == null) {
+            return unknown("this node doesn't hold the outcomes of " + ticket.nodeId());
+        }
+        if (sealed) {
+            return CompletableFuture.completedFuture(Answers.failure(
+                    Verdict.MAY_HAVE_RUN, Reason.KEY_AUTHORITY_UNREACHABLE, "the outcomes are being handed over"));
+        }
+        KeyLedger.Decision<Answer> decision = ledger.open(control.nowMillis(), ticket, content.getFingerprint());
+        return switch (decision.kind()) {
+            case START -> start(ledger, ticket, content);
+            case AWAIT -> running.getOrDefault(
+                    ticket.text(), unknown("the request runs, but its end can't be awaited here"));
+            case REPLAY -> CompletableFuture.completedFuture(decision.answer().get());
+            case REFUSE -> CompletableFuture.completedFuture(
+                    Answers.failure(decision.verdict(), decision.reason(), "refused by its ticket " + ticket.text()));
+        };
+    }
+
+    private CompletableFuture<Answer> start(KeyLedger<Answer> ledger, Ticket ticket, RequestContent content) {
+        CompletableFuture<Answer> result = new CompletableFuture<>();
+        running.put(ticket.text(), result);
+        dispatcher.dispatch(content).thenAccept(answer -> {
+            running.remove(ticket.text());
+            boolean keep = answer.getBody().size() <= LONGEST_KEPT_BODY;
+            Verdict verdict = Answers.verdict(answer);
+            Verdict kept = verdict == Verdict.RAN && !keep ? Verdict.MAY_HAVE_RUN : verdict;
+            ledger.finish(control.nowMillis(), ticket, kept, keep ? answer : null);
+            result.complete(answer);
+        });
+        return result;
+    }
+
+    private static CompletableFuture<Answer> unknown(String detail) {
+        return CompletableFuture.completedFuture(
+                Answers.failure(Verdict.MAY_HAVE_RUN, Reason.KEY_OUTCOME_UNKNOWN, detail));
+    }
+
+    private static String ledgerKey(String nodeId, long incarnation) {
+        return nodeId + '/' + incarnation;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/caller/package-info.java
@@ -0,0 +1,2 @@
+/** Callers: their requests, keys and answers. */
+package org.sardineshunt.node.caller;
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/operator/FleetReporter.java
@@ -0,0 +1,197 @@
+package org.sardineshunt.node.operator;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.stream.Stream;
+
+import org.sardineshunt.coordination.intent.Change;
+import org.sardineshunt.coordination.intent.Intent;
+import org.sardineshunt.coordination.intent.IntentSet;
+import org.sardineshunt.coordination.membership.Member;
+import org.sardineshunt.coordination.rotation.Placement;
+import org.sardineshunt.node.RotationView;
+import org.sardineshunt.node.RotationView.Located;
+import org.sardineshunt.node.RotationView.ServiceView;
+import org.sardineshunt.node.operator.OperatorReports.BehindReport;
+import org.sardineshunt.node.operator.OperatorReports.ChangeReport;
+import org.sardineshunt.node.operator.OperatorReports.ConflictReport;
+import org.sardineshunt.node.operator.OperatorReports.Explanation;
+import org.sardineshunt.node.operator.OperatorReports.IntentReport;
+import org.sardineshunt.node.operator.OperatorReports.MemberReport;
+import org.sardineshunt.node.operator.OperatorReports.Overrides;
+import org.sardineshunt.node.operator.OperatorReports.ServiceReport;
+import org.sardineshunt.node.operator.OperatorReports.UpstreamReport;
+import org.sardineshunt.node.peer.MembershipService;
+import org.sardineshunt.node.platform.ConfigurationService;
+
+/** Makes the reports that operators read from what this node knows. Belongs to the control thread. */
+final class FleetReporter {
+    private final MembershipService membership;
+    private final ConfigurationService configuration;
+    private final RotationView rotations;
+
+    FleetReporter(MembershipService membership, ConfigurationService configuration, RotationView rotations) {
+        this.membership = membership;
+        this.configuration = configuration;
+        this.rotations = rotations;
+    }
+
+    List<MemberReport> members() {
+        return membership.table().all().stream()
+                .map(member -> new MemberReport(
+                        member.nodeId(),
+                        label(member.state()),
+                        member.place().dataCentre(),
+                        member.upstreams().size()))
+                .toList();
+    }
+
+    Overrides overrides(long epochMillis) {
+        IntentSet intents = configuration.intents();
+        List<ConflictReport> conflicts = intents.conflicts(epochMillis).stream()
+                .map(conflict -> new ConflictReport(conflict.displacedId(), conflict.winningId()))
+                .toList();
+        List<ServiceView> views =
+                rotations.services().stream().map(rotations::of).toList();
+        List<IntentReport> reports = intents.all().stream()
+                .map(intent -> report(intent, epochMillis, conflicts, views))
+                .toList();
+        return new Overrides(intents.revision(), reports, conflicts, nodesBehind(), nodesNotHeard());
+    }
+
+    List<ServiceReport> services() {
+        return rotations.services().stream()
+                .map(service -> summary(rotations.of(service)))
+                .toList();
+    }
+
+    Explanation explain(String service) {
+        ServiceView view = rotations.of(service);
+        List<UpstreamReport> upstreams = view.upstreams().stream()
+                .map(located -> upstream(
+                        located, view.placements().get(located.upstream().id())))
+                .toList();
+        return new Explanation(summary(view), upstreams);
+    }
+
+    List<ChangeReport> changesSince(long epochMillis) {
+        return configuration.changesSince(epochMillis).stream()
+                .map(FleetReporter::change)
+                .toList();
+    }
+
+    static ChangeReport change(Change change) {
+        return new ChangeReport(change.revision(), change.acceptedEpochMillis(), change.author(), change.describe());
+    }
+
+    private IntentReport report(
+            Intent intent, long epochMillis, List<ConflictReport> conflicts, List<ServiceView> views) {
+        boolean inForce = intent.inForce(epochMillis);
+        boolean aboutServices = intent.action() == Intent.Action.URGENT || intent.action() == Intent.Action.FLOOR;
+        List<String> matches = !inForce
+                ? List.of()
+                : aboutServices ? matchingServices(intent, views) : matchingUpstreams(intent, views);
+        return new IntentReport(
+                intent.id(),
+                intent.action().label(),
+                intent.argument(),
+                intent.selector().text(),
+                intent.author(),
+                intent.reason(),
+                intent.createdEpochMillis(),
+                intent.endsEpochMillis(),
+                intent.revision(),
+                inForce ? "in-force" : "expired",
+                matches,
+                inForce ? heldByFloor(intent, views) : List.of(),
+                conflicts.stream()
+                        .filter(conflict -> conflict.displaced().equals(intent.id()))
+                        .map(ConflictReport::winning)
+                        .toList());
+    }
+
+    private static List<String> matchingServices(Intent intent, List<ServiceView> views) {
+        return views.stream()
+                .map(ServiceView::service)
+                .filter(service -> intent.selector().matches(Map.of("service", service)))
+                .toList();
+    }
+
+    private static List<String> matchingUpstreams(Intent intent, List<ServiceView> views) {
+        return selected(intent, views).map(located -> located.upstream().id()).toList();
+    }
+
+    private static List<String> heldByFloor(Intent intent, List<ServiceView> views) {
+        return views.stream()
+                .flatMap(view -> selected(intent, List.of(view))
+                        .map(located -> view.placements().get(located.upstream().id())))
+                .filter(placement -> placement.cause() == Placement.Cause.DRAIN_HELD_BY_FLOOR)
+                .map(Placement::id)
+                .toList();
+    }
+
+    private static Stream<Located> selected(Intent intent, List<ServiceView> views) {
+        return views.stream()
+                .flatMap(view -> view.upstreams().stream())
+                .filter(located -> located.member().isReachable())
+                .filter(located -> located.upstream().intentIds().contains(intent.id()));
+    }
+
+    private List<BehindReport> nodesBehind() {
+        long revision = configuration.intents().revision();
+        return membership.knownRevisions().entrySet().stream()
+                .filter(entry -> entry.getValue() < revision)
+                .filter(entry -> membership
+                        .table()
+                        .find(entry.getKey())
+                        .filter(Member::isReachable)
+                        .isPresent())
+                .map(entry -> new BehindReport(entry.getKey(), entry.getValue()))
+                .sorted(Comparator.comparing(BehindReport::node))
+                .toList();
+    }
+
+    private List<String> nodesNotHeard() {
+        Map<String, Long> known = membership.knownRevisions();
+        return membership
+                .table()
+                .reachable()
+                .map(Member::nodeId)
+                .filter(nodeId -> !nodeId.equals(membership.self().nodeId()))
+                .filter(nodeId -> !known.containsKey(nodeId))
+                .toList();
+    }
+
+    private static ServiceReport summary(ServiceView view) {
+        int slots = view.upstreams().stream()
+                .filter(located ->
+                        located.member().isReachable() && !located.upstream().leaving())
+                .mapToInt(located -> located.upstream().slots())
+                .sum();
+        return new ServiceReport(
+                view.service(),
+                view.upstreams().size(),
+                slots,
+                view.slotsInUse(),
+                view.floorSlots(),
+                view.floorShare());
+    }
+
+    private static UpstreamReport upstream(Located located, Placement placement) {
+        return new UpstreamReport(
+                located.upstream().id(),
+                located.member().nodeId(),
+                located.member().place().dataCentre(),
+                located.upstream().slots(),
+                label(placement.use()),
+                placement.cause().text(),
+                label(located.upstream().condition()),
+                located.upstream().intentIds());
+    }
+
+    private static String label(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/operator/StatusPage.java
@@ -0,0 +1,64 @@
+package org.sardineshunt.node.operator;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.Collectors;
+
+import org.sardineshunt.node.operator.OperatorReports.IntentReport;
+import org.sardineshunt.node.operator.OperatorReports.Overrides;
+import org.sardineshunt.node.operator.OperatorReports.ServiceReport;
+import org.sardineshunt.node.operator.OperatorReports.Status;
+
+/** Renders the plain status page that any node serves. */
+final class StatusPage {
+    private StatusPage() {}
+
+    static String render(Status status, Overrides overrides, List<ServiceReport> services, long nowEpochMillis) {
+        return "sardineshunt node " + status.node() + " (" + status.dataCentre() + ", " + status.region() + ")\n"
+                + (status.ready() ? "ready" : "not ready") + ", revision " + status.revision() + ", "
+                + status.members().size() + " nodes known\n\n"
+                + "Overrides\n" + intents(overrides, nowEpochMillis) + "\n"
+                + "Conflicts\n" + conflicts(overrides) + "\n"
+                + "Nodes behind revision " + overrides.revision() + "\n" + behind(overrides) + "\n"
+                + "Services\n" + services(services);
+    }
+
+    private static String intents(Overrides overrides, long nowEpochMillis) {
+        return orNone(overrides.intents().stream().map(intent -> intent(intent, nowEpochMillis)));
+    }
+
+    private static String intent(IntentReport intent, long nowEpochMillis) {
+        Duration age = Duration.ofMillis(Math.max(0, nowEpochMillis - intent.createdEpochMillis()));
+        return "  " + intent.id() + ": " + intent.action() + ' ' + intent.argument()
+                + (intent.argument().isEmpty() ? "" : " ") + "on " + intent.selector() + " (" + intent.state() + ")\n"
+                + "    by " + intent.author() + ", " + age.toMinutes() + " min ago: " + intent.reason() + "\n"
+                + "    matches now: " + list(intent.matches()) + "\n"
+                + "    held back by the floor: " + list(intent.heldByFloor()) + "\n"
+                + "    displaced by: " + list(intent.displacedBy()) + "\n";
+    }
+
+    private static String conflicts(Overrides overrides) {
+        return orNone(overrides.conflicts().stream()
+                .map(conflict -> "  " + conflict.winning() + " displaces " + conflict.displaced() + "\n"));
+    }
+
+    private static String behind(Overrides overrides) {
+        return orNone(overrides.nodesBehind().stream()
+                .map(node -> "  " + node.node() + " holds revision " + node.revision() + "\n"));
+    }
+
+    private static String services(List<ServiceReport> services) {
+        return orNone(services.stream()
+                .map(service -> "  " + service.service() + ": " + service.slotsInUse() + " of " + service.slots()
+                        + " slots in use, floor " + service.floorSlots() + "\n"));
+    }
+
+    private static String orNone(java.util.stream.Stream<String> lines) {
+        String text = lines.collect(Collectors.joining());
+        return text.isEmpty() ? "  none\n" : text;
+    }
+
+    private static String list(List<String> names) {
+        return names.isEmpty() ? "none" : String.join(", ", names);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/package-info.java
@@ -0,0 +1,2 @@
+/** The process beside a backend server: entry for callers and home of the upstreams that announce themselves. */
+package org.sardineshunt.node;
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/peer/CrashRegister.java
@@ -0,0 +1,73 @@
+package org.sardineshunt.node.peer;
+
+import java.util.List;
+
+import org.jboss.logging.Logger;
+import org.sardineshunt.coordination.membership.GossipQueue;
+import org.sardineshunt.coordination.once.CrashGuard;
+import org.sardineshunt.node.ControlThread;
+import org.sardineshunt.protocol.PeerMessages.CrashRecord;
+import org.sardineshunt.protocol.PeerMessages.Gossip;
+
+/** Requests that crashed upstreams, as the whole fleet knows them. Belongs to the control thread. */
+public final class CrashRegister {
+    private static final Logger LOG = Logger.getLogger(CrashRegister.class);
+    private static final int VICTIM_LIMIT = 2;
+    private static final long MEMORY_MILLIS = 600_000;
+    private static final int RECORDS_PER_MESSAGE = 8;
+    private static final int GOSSIP_TIMES_PER_DECADE = 4;
+
+    private final ControlThread control;
+    private final CrashGuard guard = new CrashGuard(VICTIM_LIMIT, MEMORY_MILLIS);
+    private final GossipQueue<CrashRecord> updates = new GossipQueue<>(GOSSIP_TIMES_PER_DECADE);
+
+    /** Creates an empty register. */
+    public CrashRegister(ControlThread control) {
+        this.control = control;
+    }
+
+    /** Returns whether a request must be refused. */
+    public boolean refuses(String fingerprint) {
+        return guard.refuses(control.nowMillis(), fingerprint);
+    }
+
+    /** Records that an upstream crashed while it ran a request. */
+    public void recordCrash(String fingerprint, String upstreamId) {
+        if (guard.recordCrash(control.nowMillis(), fingerprint, upstreamId)) {
+            LOG.warnf("upstream '%s' crashed while it ran request %s", upstreamId, fingerprint);
+            updates.add(
+                    fingerprint + '/' + upstreamId,
+                    CrashRecord.newBuilder()
+                            .setFingerprint(fingerprint)
+                            .setUpstreamId(upstreamId)
+                            .build());
+        }
+    }
+
+    /** Records that a request was answered. */
+    public void recordAnswer(String fingerprint) {
+        guard.recordAnswer(fingerprint);
+    }
+
+    /** Returns the fingerprints that are refused. */
+    public List<String> refused() {
+        return guard.refused();
+    }
+
+    /** Drops records whose time is over. */
+    public void expire() {
+        guard.expire(control.nowMillis());
+    }
+
+    int pending() {
+        return updates.size();
+    }
+
+    void fill(Gossip.Builder gossip, int nodes) {
+        gossip.addAllCrashes(updates.take(RECORDS_PER_MESSAGE, nodes));
+    }
+
+    void accept(Gossip gossip) {
+        gossip.getCrashesList().forEach(crash -> recordCrash(crash.getFingerprint(), crash.getUpstreamId()));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/peer/FleetGossip.java
@@ -0,0 +1,59 @@
+package org.sardineshunt.node.peer;
+
+import java.util.function.Consumer;
+
+import org.sardineshunt.node.platform.ConfigurationService;
+import org.sardineshunt.protocol.PeerMessages.Gossip;
+import org.sardineshunt.protocol.PeerMessages.SyncReply;
+
+/** Sends changes of the intents and crash records along with membership gossip. Belongs to the control thread. */
+public final class FleetGossip implements MembershipService.GossipExtension {
+    private final ConfigurationService configuration;
+    private final CrashRegister crashes;
+    private Consumer<String> onBehind = nodeId -> {};
+
+    /** Creates the extension. */
+    public FleetGossip(ConfigurationService configuration, CrashRegister crashes) {
+        this.configuration = configuration;
+        this.crashes = crashes;
+    }
+
+    /** Calls back with a node that holds a later revision than this one. */
+    public void onBehind(Consumer<String> callback) {
+        onBehind = callback;
+    }
+
+    @Override
+    public long revision() {
+        return configuration.intents().revision();
+    }
+
+    @Override
+    public int pending() {
+        return configuration.pending() + crashes.pending();
+    }
+
+    @Override
+    public void fill(Gossip.Builder gossip, int nodes) {
+        configuration.fill(gossip, nodes);
+        crashes.fill(gossip, nodes);
+    }
+
+    @Override
+    public void accept(String remoteNodeId, Gossip gossip) {
+        crashes.accept(gossip);
+        if (configuration.accept(gossip)) {
+            onBehind.accept(remoteNodeId);
+        }
+    }
+
+    @Override
+    public void fillSync(long remoteRevision, SyncReply.Builder reply) {
+        configuration.fillSync(remoteRevision, reply);
+    }
+
+    @Override
+    public void acceptSync(SyncReply reply) {
+        configuration.acceptSync(reply);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/peer/MembershipService.java
@@ -0,0 +1,396 @@
+package org.sardineshunt.node.peer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import org.jboss.logging.Logger;
+import org.sardineshunt.coordination.membership.FailureDetector;
+import org.sardineshunt.coordination.membership.GossipQueue;
+import org.sardineshunt.coordination.membership.Member;
+import org.sardineshunt.coordination.membership.Member.State;
+import org.sardineshunt.coordination.membership.MemberTable;
+import org.sardineshunt.coordination.membership.UpstreamInfo;
+import org.sardineshunt.node.ControlThread;
+import org.sardineshunt.node.NodeSettings.TimingSettings;
+import org.sardineshunt.protocol.PeerMessages.Acknowledgement;
+import org.sardineshunt.protocol.PeerMessages.Envelope;
+import org.sardineshunt.protocol.PeerMessages.Gossip;
+import org.sardineshunt.protocol.PeerMessages.IndirectPing;
+import org.sardineshunt.protocol.PeerMessages.MemberRecord;
+import org.sardineshunt.protocol.PeerMessages.Ping;
+import org.sardineshunt.protocol.PeerMessages.SyncReply;
+import org.sardineshunt.protocol.PeerMessages.SyncRequest;
+
+/**
+ * Runs the membership: probes, gossip and anti-entropy. Belongs to the control thread.
+ *
+ * <p>Nodes probe the nodes of their own data centre, so that a lost link between regions kills no one; gossip and
+ * anti-entropy cross data centres.
+ */
+public final class MembershipService {
+    private static final Logger LOG = Logger.getLogger(MembershipService.class);
+    private static final int RECORDS_PER_MESSAGE = 8;
+    private static final int GOSSIP_TIMES_PER_DECADE = 4;
+    private static final int INDIRECT_PROBES = 3;
+    private static final double SUSPICION_PERIODS = 4;
+    private static final int PERIODS_BETWEEN_SYNCS = 5;
+    private static final long SYNC_TIMEOUT_MILLIS = 2_000;
+    private static final long KEEP_ENDED_MILLIS = 900_000;
+    private static final int FEW_LOCAL_PEERS = 2;
+
+    private final ControlThread control;
+    private final PeerLinks links;
+    private final TimingSettings timing;
+    private final Random random;
+    private final FailureDetector detector;
+    private final MemberTable table = new MemberTable();
+    private final GossipQueue<Member> updates = new GossipQueue<>(GOSSIP_TIMES_PER_DECADE);
+    private final List<Runnable> listeners = new ArrayList<>();
+    private final Map<String, Long> knownRevisions = new HashMap<>();
+    private final GossipExtension extension;
+    private Member self;
+    private long generation;
+    private int periods;
+    private int crossProbe;
+
+    /**
+     * Creates the membership of a node that knows only itself.
+     *
+     * @param self record of this node with its first version
+     * @param extension what else travels with gossip
+     */
+    public MembershipService(
+            ControlThread control,
+            PeerLinks links,
+            TimingSettings timing,
+            Member self,
+            Random random,
+            GossipExtension extension) {
+        this.control = control;
+        this.links = links;
+        this.timing = timing;
+        this.self = self;
+        this.random = random;
+        this.extension = extension;
+        this.detector = new FailureDetector(timing.probePeriod().millis(), INDIRECT_PROBES, SUSPICION_PERIODS, random);
+        table.merge(control.nowMillis(), self);
+    }
+
+    /** Starts probing. */
+    public void start() {
+        control.every(timing.probePeriod().millis(), this::probe);
+    }
+
+    /** Calls a listener after each change of the table. */
+    public void onChange(Runnable listener) {
+        listeners.add(listener);
+    }
+
+    /** Returns the member table. */
+    public MemberTable table() {
+        return table;
+    }
+
+    /** Returns this node's own record. */
+    public Member self() {
+        return self;
+    }
+
+    /** Returns a number that grows with each change of the table. */
+    public long generation() {
+        return generation;
+    }
+
+    /** Returns the last revision of the intents that some other nodes named, by node id. */
+    public Map<String, Long> knownRevisions() {
+        return Map.copyOf(knownRevisions);
+    }
+
+    /** Publishes what this node serves, if it has changed. */
+    public void publishUpstreams(List<UpstreamInfo> upstreams) {
+        if (!self.upstreams().equals(upstreams)) {
+            publish(self.state(), self.successor(), upstreams);
+        }
+    }
+
+    /** Announces that this node stops; its upstreams get no new work from then on. */
+    public void publishLeft(String successor) {
+        publish(State.LEFT, successor, self.upstreams());
+    }
+
+    /** Sends pending gossip at once to some random nodes besides the regular probes. */
+    public void spreadNow(int nodes) {
+        List<Member> targets = new ArrayList<>(others());
+        java.util.Collections.shuffle(targets, random);
+        targets.stream().limit(nodes).forEach(target -> ping(target, () -> {}));
+    }
+
+    /** Asks some reachable nodes for their revision of the intents; ends when all have answered or failed. */
+    public CompletableFuture<Void> refreshRevisions(int mostNodes) {
+        List<Member> targets = new ArrayList<>(others());
+        java.util.Collections.shuffle(targets, random);
+        return CompletableFuture.allOf(targets.stream()
+                .limit(mostNodes)
+                .map(target -> ping(target, () -> {}).exceptionally(failure -> null))
+                .toArray(CompletableFuture<?>[]::new));
+    }
+
+    /** Exchanges tables with a node whose address is known but whose name may not be. */
+    public CompletableFuture<Boolean> syncWith(String nodeId, Member.Endpoint endpoint) {
+        SyncRequest.Builder request = SyncRequest.newBuilder()
+                .setConfigurationRevision(extension.revision())
+                .addMembers(MessageCodec.encode(self));
+        for (long digest : table.digests()) {
+            request.addBucketDigests(digest);
+        }
+        Envelope message = Envelope.newBuilder().setSyncRequest(request).build();
+        return links.call(nodeId, endpoint, message, SYNC_TIMEOUT_MILLIS)
+                .thenApplyAsync(reply -> acceptSync(reply.envelope().getSyncReply()), control)
+                .exceptionally(failure -> false);
+    }
+
+    /** Answers a probe of another node. */
+    public Envelope.Builder answerPing(String remoteNodeId, Ping ping) {
+        acceptGossip(remoteNodeId, ping.getGossip());
+        return acknowledgement(true);
+    }
+
+    /** Probes a node on behalf of another one. */
+    public CompletionStage<Envelope.Builder> answerIndirectPing(IndirectPing request) {
+        CompletableFuture<Envelope.Builder> result = new CompletableFuture<>();
+        table.find(request.getTargetNodeId())
+                .ifPresentOrElse(
+                        target -> callPing(target)
+                                .whenComplete((reply, failure) -> result.complete(acknowledgement(failure == null))),
+                        () -> result.complete(acknowledgement(false)));
+        return result;
+    }
+
+    /** Answers another node's request to exchange tables. */
+    public Envelope.Builder answerSync(String remoteNodeId, SyncRequest request) {
+        knownRevisions.put(remoteNodeId, request.getConfigurationRevision());
+        long[] digests = request.getBucketDigestsList().stream()
+                .mapToLong(Long::longValue)
+                .toArray();
+        List<Integer> differing = table.differingBuckets(digests);
+        SyncReply.Builder reply = SyncReply.newBuilder().addAllDifferingBuckets(differing);
+        table.inBuckets(differing).stream().map(MessageCodec::encode).forEach(reply::addMembers);
+        extension.fillSync(request.getConfigurationRevision(), reply);
+        mergeAll(request.getMembersList());
+        return Envelope.newBuilder().setSyncReply(reply);
+    }
+
+    /** Takes over gossip that came outside of a probe. */
+    public void acceptGossip(String remoteNodeId, Gossip gossip) {
+        knownRevisions.put(remoteNodeId, gossip.getConfigurationRevision());
+        mergeAll(gossip.getMembersList());
+        extension.accept(remoteNodeId, gossip);
+    }
+
+    private void publish(State state, String successor, List<UpstreamInfo> upstreams) {
+        self = new Member(
+                self.nodeId(),
+                self.incarnation(),
+                self.version() + 1,
+                state,
+                self.endpoint(),
+                self.place(),
+                successor,
+                upstreams);
+        table.merge(control.nowMillis(), self);
+        updates.add(self.nodeId(), self);
+        changed();
+    }
+
+    private void probe() {
+        List<Member> watched = watched();
+        for (FailureDetector.Action action : detector.tick(control.nowMillis(), watched)) {
+            perform(action, watched);
+        }
+        periods++;
+        if (periods % PERIODS_BETWEEN_SYNCS == 0) {
+            table.expire(control.nowMillis(), KEEP_ENDED_MILLIS);
+            randomMember().ifPresent(member -> syncWith(member.nodeId(), member.endpoint()));
+        }
+        gossipAcross();
+    }
+
+    private void perform(FailureDetector.Action action, List<Member> watched) {
+        switch (action.kind()) {
+            case PING -> table.find(action.nodeId()).ifPresent(target -> probeDirectly(target, watched));
+            case SUSPECT -> changeState(action.nodeId(), State.SUSPECT);
+            case DECLARE_DEAD -> changeState(action.nodeId(), State.DEAD);
+            default -> LOG.errorf("unexpected action %s", action);
+        }
+    }
+
+    private void probeDirectly(Member target, List<Member> watched) {
+        ping(target, () -> detector.acknowledged(target.nodeId()));
+        control.after(
+                timing.probeTimeout().millis(), () -> detector.directProbeTimedOut(target.nodeId(), watched).stream()
+                        .flatMap(action -> action.helpers().stream())
+                        .forEach(helper -> probeThrough(helper, target.nodeId())));
+    }
+
+    private void probeThrough(String helperId, String targetId) {
+        Envelope message = Envelope.newBuilder()
+                .setIndirectPing(IndirectPing.newBuilder().setTargetNodeId(targetId))
+                .build();
+        table.find(helperId).ifPresent(helper -> links.call(
+                        helperId,
+                        helper.endpoint(),
+                        message,
+                        2 * timing.probeTimeout().millis())
+                .thenAcceptAsync(
+                        reply -> {
+                            if (reply.envelope().getAcknowledgement().getReached()) {
+                                detector.acknowledged(targetId);
+                            }
+                        },
+                        control));
+    }
+
+    private CompletableFuture<Void> ping(Member target, Runnable onAnswer) {
+        return callPing(target)
+                .thenAcceptAsync(
+                        reply -> {
+                            onAnswer.run();
+                            acceptGossip(
+                                    target.nodeId(),
+                                    reply.envelope().getAcknowledgement().getGossip());
+                        },
+                        control);
+    }
+
+    private CompletableFuture<PeerLink.Reply> callPing(Member target) {
+        Envelope message = Envelope.newBuilder()
+                .setPing(Ping.newBuilder().setGossip(gossip()))
+                .build();
+        return links.call(
+                target.nodeId(),
+                target.endpoint(),
+                message,
+                timing.probeTimeout().millis());
+    }
+
+    private Envelope.Builder acknowledgement(boolean reached) {
+        return Envelope.newBuilder()
+                .setAcknowledgement(
+                        Acknowledgement.newBuilder().setReached(reached).setGossip(gossip()));
+    }
+
+    private Gossip gossip() {
+        Gossip.Builder gossip = Gossip.newBuilder().setConfigurationRevision(extension.revision());
+        int nodes = table.all().size();
+        updates.take(RECORDS_PER_MESSAGE, nodes).stream()
+                .map(MessageCodec::encode)
+                .forEach(gossip::addMembers);
+        extension.fill(gossip, nodes);
+        return gossip.build();
+    }
+
+    private void changeState(String nodeId, State state) {
+        table.find(nodeId).map(member -> member.withState(state)).ifPresent(member -> {
+            LOG.infof("node '%s' is now %s", nodeId, state);
+            merge(member);
+        });
+    }
+
+    private boolean acceptSync(SyncReply reply) {
+        mergeAll(reply.getMembersList());
+        extension.acceptSync(reply);
+        return true;
+    }
+
+    private void mergeAll(List<MemberRecord> records) {
+        records.stream().map(MessageCodec::decode).forEach(this::merge);
+    }
+
+    private void merge(Member member) {
+        if (member.nodeId().equals(self.nodeId())) {
+            refuteIfNeeded(member);
+        } else if (table.merge(control.nowMillis(), member)) {
+            updates.add(member.nodeId(), member);
+            changed();
+        }
+    }
+
+    private void refuteIfNeeded(Member claimed) {
+        if (claimed.incarnation() == self.incarnation() && claimed.supersedes(self)) {
+            LOG.infof("refuting that this node is %s", claimed.state());
+            self = new Member(
+                    self.nodeId(),
+                    self.incarnation(),
+                    claimed.version(),
+                    self.state(),
+                    self.endpoint(),
+                    self.place(),
+                    self.successor(),
+                    self.upstreams());
+            publish(self.state(), self.successor(), self.upstreams());
+        }
+    }
+
+    private void changed() {
+        generation++;
+        listeners.forEach(Runnable::run);
+    }
+
+    private List<Member> others() {
+        return table.reachable()
+                .filter(member -> !member.nodeId().equals(self.nodeId()))
+                .toList();
+    }
+
+    private List<Member> watched() {
+        List<Member> others = others();
+        List<Member> local = others.stream()
+                .filter(member ->
+                        member.place().dataCentre().equals(self.place().dataCentre()))
+                .toList();
+        return local.size() < FEW_LOCAL_PEERS ? others : local;
+    }
+
+    private void gossipAcross() {
+        List<Member> remote = others().stream()
+                .filter(member ->
+                        !member.place().dataCentre().equals(self.place().dataCentre()))
+                .toList();
+        if (!remote.isEmpty() && updates.size() + extension.pending() > 0) {
+            ping(remote.get(Math.floorMod(crossProbe++ * 7 + random.nextInt(remote.size()), remote.size())), () -> {});
+        }
+    }
+
+    private java.util.Optional<Member> randomMember() {
+        List<Member> others = others();
+        return others.isEmpty()
+                ? java.util.Optional.empty()
+                : java.util.Optional.of(others.get(random.nextInt(others.size())));
+    }
+
+    /** What travels with gossip besides member records: the configuration and crash records. */
+    public interface GossipExtension {
+        /** Returns the revision that this node holds. */
+        long revision();
+
+        /** Returns how many updates wait to be sent. */
+        int pending();
+
+        /** Adds pending updates to a message. */
+        void fill(Gossip.Builder gossip, int nodes);
+
+        /** Takes over the updates of a message. */
+        void accept(String remoteNodeId, Gossip gossip);
+
+        /** Adds what a node with some revision lacks. */
+        void fillSync(long remoteRevision, SyncReply.Builder reply);
+
+        /** Takes over what another node sent. */
+        void acceptSync(SyncReply reply);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Other nodes: links, membership and gossip. */
+package org.sardineshunt.node.peer;
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/platform/ChangeRow.java
@@ -0,0 +1,26 @@
+package org.sardineshunt.node.platform;
+
+import java.util.Base64;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.sardineshunt.coordination.intent.Change;
+import org.sardineshunt.node.peer.MessageCodec;
+import org.sardineshunt.protocol.PeerMessages.ChangeRecord;
+
+/** Text form of a change in a row of the table service. */
+final class ChangeRow {
+    private ChangeRow() {}
+
+    static String format(Change change) {
+        return Base64.getEncoder().encodeToString(MessageCodec.encode(change).toByteArray());
+    }
+
+    static Change parse(String value) {
+        try {
+            return MessageCodec.decode(
+                    ChangeRecord.parseFrom(Base64.getDecoder().decode(value)));
+        } catch (InvalidProtocolBufferException malformed) {
+            throw new IllegalArgumentException("row of a change can't be decoded: '" + value + "'", malformed);
+        }
+    }
+}
