--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/platform/ConfigurationService.java
@@ -0,0 +1,339 @@
+package org.sardineshunt.node.platform;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.jboss.logging.Logger;
+import org.sardineshunt.coordination.Rendezvous;
+import org.sardineshunt.coordination.intent.Change;
+import org.sardineshunt.coordination.intent.Intent;
+import org.sardineshunt.coordination.intent.IntentSet;
+import org.sardineshunt.coordination.membership.GossipQueue;
+import org.sardineshunt.node.ControlThread;
+import org.sardineshunt.node.peer.MessageCodec;
+import org.sardineshunt.protocol.PeerMessages.ConfigurationSnapshot;
+import org.sardineshunt.protocol.PeerMessages.Gossip;
+import org.sardineshunt.protocol.PeerMessages.SyncReply;
+
+/**
+ * Holds the intents in force and brings them up to date. Belongs to the control thread.
+ *
+ * <p>An accepted change is a row of the table service with the next revision; the head row changes in the same
+ * transaction. Nodes adopt changes in order of their revisions and never a lower one. Changes come by gossip, by
+ * anti-entropy and, at a few nodes of each data centre, by polling the table.
+ */
+public final class ConfigurationService {
+    private static final Logger LOG = Logger.getLogger(ConfigurationService.class);
+    private static final String HEAD_KEY = "configuration/head";
+    private static final String CHANGE_PREFIX = "configuration/change/";
+    private static final String SNAPSHOT_OBJECT = "configuration-snapshot";
+    private static final int KEPT_CHANGES = 2_000;
+    private static final int CHANGES_PER_MESSAGE = 16;
+    private static final int GOSSIP_TIMES_PER_DECADE = 4;
+    private static final int POLLERS_PER_DATA_CENTRE = 2;
+    private static final int READ_BACK_ATTEMPTS = 5;
+    private static final long READ_BACK_DELAY_MILLIS = 300;
+
+    private final ControlThread control;
+    private final PlatformClient platform;
+    private final GossipQueue<Change> updates = new GossipQueue<>(GOSSIP_TIMES_PER_DECADE);
+    private final TreeMap<Long, Change> changes = new TreeMap<>();
+    private final List<Runnable> listeners = new ArrayList<>();
+    private IntentSet intents = IntentSet.EMPTY;
+    private boolean known;
+    private boolean polling;
+
+    /** Creates the service of a node that has no configuration yet. */
+    public ConfigurationService(ControlThread control, PlatformClient platform) {
+        this.control = control;
+        this.platform = platform;
+    }
+
+    /** Calls a listener after each adopted change. */
+    public void onChange(Runnable listener) {
+        listeners.add(listener);
+    }
+
+    /** Returns the intents in force and their revision. */
+    public IntentSet intents() {
+        return intents;
+    }
+
+    /** Returns whether the node has ever learned the fleet's configuration; it serves nothing before. */
+    public boolean isKnown() {
+        return known;
+    }
+
+    /** Returns the remembered changes accepted since a wall-clock time, the oldest first. */
+    public List<Change> changesSince(long epochMillis) {
+        return changes.values().stream()
+                .filter(change -> change.acceptedEpochMillis() >= epochMillis)
+                .toList();
+    }
+
+    /** Returns the remembered changes after a revision, the oldest first. */
+    public List<Change> changesAfter(long revision) {
+        return List.copyOf(changes.tailMap(revision, false).values());
+    }
+
+    /** Returns the effective floor share of a service at a wall-clock time. */
+    public double floor(String service, double usual, long epochMillis) {
+        return intents.forService(Intent.Action.FLOOR, service, epochMillis)
+                .map(Intent::share)
+                .getOrElse(usual);
+    }
+
+    /** Returns whether a node is one of the few of its data centre that poll the table. */
+    public static boolean isPoller(String nodeId, List<String> dataCentreNodes) {
+        return Rendezvous.choose("configuration-poller", dataCentreNodes, POLLERS_PER_DATA_CENTRE)
+                .contains(nodeId);
+    }
+
+    /** Reads changes that the node lacks from the table. */
+    public CompletableFuture<Boolean> poll() {
+        if (polling) {
+            return CompletableFuture.completedFuture(false);
+        }
+        polling = true;
+        return platform.range(changeKey(intents.revision() + 1), CHANGE_PREFIX + "~", CHANGES_PER_MESSAGE * 16)
+                .thenApplyAsync(this::adoptRows, control)
+                .whenCompleteAsync(
+                        (adopted, failure) -> {
+                            polling = false;
+                            if (failure != null) {
+                                LOG.debugf("table not read: %s", failure.getMessage());
+                            }
+                        },
+                        control);
+    }
+
+    /** Reads the configuration of a starting node from the table, or from the object store if the table is down. */
+    public CompletableFuture<Boolean> load() {
+        return poll().handleAsync((adopted, failure) -> failure == null, control)
+                .thenCompose(read -> read ? CompletableFuture.completedFuture(true) : loadSnapshot());
+    }
+
+    /**
+     * Commits a change made against a revision.
+     *
+     * @param proposal the change, with the next revision
+     * @return the accepted change, or why it was refused
+     */
+    public CompletableFuture<Either<Refusal, Change>> commit(Change proposal) {
+        if (proposal.revision() != intents.revision() + 1) {
+            return CompletableFuture.completedFuture(Either.left(stale(proposal.revision() - 1)));
+        }
+        return platform.row(HEAD_KEY)
+                .thenCompose(head -> platform.transact(transaction(proposal, head)))
+                .handleAsync((outcome, failure) -> judge(proposal, outcome, failure), control)
+                .thenCompose(result -> result);
+    }
+
+    /** Returns how many changes wait to be sent by gossip. */
+    public int pending() {
+        return updates.size();
+    }
+
+    /** Adds pending changes to a message. */
+    public void fill(Gossip.Builder gossip, int nodes) {
+        updates.take(CHANGES_PER_MESSAGE, nodes).stream()
+                .map(MessageCodec::encode)
+                .forEach(gossip::addChanges);
+    }
+
+    /** Takes over the changes of a message; returns whether the sender has more than the message held. */
+    public boolean accept(Gossip gossip) {
+        gossip.getChangesList().stream()
+                .map(MessageCodec::decode)
+                .sorted(Comparator.comparingLong(Change::revision))
+                .forEach(this::adopt);
+        return gossip.getConfigurationRevision() > intents.revision();
+    }
+
+    /** Adds the changes that a node with some revision lacks, or a snapshot if they are no longer remembered. */
+    public void fillSync(long remoteRevision, SyncReply.Builder reply) {
+        if (!known || remoteRevision > intents.revision()) {
+            return;
+        }
+        List<Change> missing = changesAfter(remoteRevision);
+        if (remoteRevision > 0 && missing.size() == intents.revision() - remoteRevision) {
+            missing.stream().map(MessageCodec::encode).forEach(reply::addChanges);
+        } else {
+            reply.setSnapshot(MessageCodec.encode(intents));
+            changes.values().stream().map(MessageCodec::encode).forEach(reply::addChanges);
+        }
+    }
+
+    /** Takes over what another node sent. */
+    public void acceptSync(SyncReply reply) {
+        if (reply.hasSnapshot()) {
+            adoptSnapshot(MessageCodec.decode(reply.getSnapshot()));
+        }
+        reply.getChangesList().stream().map(MessageCodec::decode).forEach(this::adopt);
+    }
+
+    private boolean adoptRows(TableRows.Rows rows) {
+        known = true;
+        rows.rows().stream().map(row -> ChangeRow.parse(row.value())).forEach(this::adopt);
+        return true;
+    }
+
+    private void adopt(Change change) {
+        if (change.revision() <= intents.revision()) {
+            changes.putIfAbsent(change.revision(), change);
+            return;
+        }
+        intents.apply(change).forEach(next -> {
+            intents = next;
+            known = true;
+            changes.put(change.revision(), change);
+            if (changes.size() > KEPT_CHANGES) {
+                changes.pollFirstEntry();
+            }
+            updates.add(Long.toString(change.revision()), change);
+            LOG.infof("adopted revision %d: %s", change.revision(), change.describe());
+            listeners.forEach(Runnable::run);
+        });
+    }
+
+    private void adoptSnapshot(IntentSet snapshot) {
+        known = true;
+        IntentSet latest = intents.latest(snapshot);
+        if (latest != intents) {
+            intents = latest;
+            listeners.forEach(Runnable::run);
+        }
+    }
+
+    private CompletableFuture<Boolean> loadSnapshot() {
+        return platform.getObject(SNAPSHOT_OBJECT)
+                .thenApplyAsync(
+                        content -> {
+                            adoptSnapshot(MessageCodec.decode(parseSnapshot(content)));
+                            return true;
+                        },
+                        control)
+                .exceptionally(failure -> false);
+    }
+
+    private void storeSnapshot() {
+        platform.putObject(SNAPSHOT_OBJECT, MessageCodec.encode(intents).toByteArray())
+                .exceptionally(failure -> {
+                    LOG.warnf("snapshot of revision %d not stored: %s", intents.revision(), failure.getMessage());
+                    return null;
+                });
+    }
+
+    private static ConfigurationSnapshot parseSnapshot(byte[] content) {
+        try {
+            return ConfigurationSnapshot.parseFrom(content);
+        } catch (com.google.protobuf.InvalidProtocolBufferException malformed) {
+            throw new IllegalArgumentException("snapshot object can't be decoded", malformed);
+        }
+    }
+
+    private static TableRows.Transaction transaction(Change proposal, TableRows.Rows head) {
+        long headVersion = head.rows().isEmpty() ? 0 : head.rows().get(0).version();
+        String changeKey = changeKey(proposal.revision());
+        return new TableRows.Transaction(
+                List.of(new TableRows.Condition(HEAD_KEY, headVersion), new TableRows.Condition(changeKey, 0)),
+                List.of(
+                        new TableRows.Write(HEAD_KEY, Long.toString(proposal.revision())),
+                        new TableRows.Write(changeKey, ChangeRow.format(proposal))));
+    }
+
+    private CompletableFuture<Either<Refusal, Change>> judge(
+            Change proposal, TableRows.Outcome outcome, Throwable failure) {
+        if (failure != null) {
+            boolean unknown =
+                    unwrap(failure) instanceof PlatformFailure platformFailure && platformFailure.mayHaveTakenEffect();
+            return unknown
+                    ? readBack(proposal, READ_BACK_ATTEMPTS)
+                    : CompletableFuture.completedFuture(Either.left(new Refusal(
+                            Refusal.Kind.PLATFORM_UNAVAILABLE, unwrap(failure).getMessage(), List.of())));
+        }
+        if (outcome.conflicts().isEmpty()) {
+            return CompletableFuture.completedFuture(accepted(proposal));
+        }
+        return poll().handleAsync((read, pollFailure) -> Either.left(stale(proposal.revision() - 1)), control);
+    }
+
+    private CompletableFuture<Either<Refusal, Change>> readBack(Change proposal, int attempts) {
+        return platform.row(changeKey(proposal.revision()))
+                .handleAsync((rows, failure) -> judgeReadBack(proposal, rows, failure, attempts), control)
+                .thenCompose(result -> result);
+    }
+
+    private CompletableFuture<Either<Refusal, Change>> judgeReadBack(
+            Change proposal, TableRows.Rows rows, Throwable failure, int attempts) {
+        Option<Change> stored = failure != null
+                ? Option.none()
+                : Option.ofOptional(rows.rows().stream().findFirst()).map(row -> ChangeRow.parse(row.value()));
+        if (stored.isEmpty() && attempts > 1) {
+            CompletableFuture<Either<Refusal, Change>> later = new CompletableFuture<>();
+            control.after(READ_BACK_DELAY_MILLIS, () -> readBack(proposal, attempts - 1)
+                    .whenComplete((result, error) -> later.complete(result)));
+            return later;
+        }
+        // An absent row proves nothing: the lost write may still take effect.
+        if (stored.isEmpty()) {
+            return CompletableFuture.completedFuture(Either.left(new Refusal(
+                    Refusal.Kind.OUTCOME_UNKNOWN,
+                    "the answer was lost and the change was not found yet; change id " + proposal.changeId(),
+                    List.of())));
+        }
+        stored.forEach(this::adopt);
+        return CompletableFuture.completedFuture(
+                stored.get().changeId().equals(proposal.changeId())
+                        ? accepted(stored.get())
+                        : Either.left(stale(proposal.revision() - 1)));
+    }
+
+    private Either<Refusal, Change> accepted(Change change) {
+        adopt(change);
+        storeSnapshot();
+        return Either.right(change);
+    }
+
+    private Refusal stale(long against) {
+        return new Refusal(
+                Refusal.Kind.STALE,
+                "the change was made against revision " + against + ", but revision " + intents.revision()
+                        + " is in force",
+                changesAfter(against));
+    }
+
+    private static Throwable unwrap(Throwable failure) {
+        return failure instanceof java.util.concurrent.CompletionException && failure.getCause() != null
+                ? failure.getCause()
+                : failure;
+    }
+
+    private static String changeKey(long revision) {
+        return CHANGE_PREFIX + String.format("%016d", revision);
+    }
+
+    /**
+     * Why a change was not accepted.
+     *
+     * @param kind kind of refusal
+     * @param detail explanation for the operator
+     * @param others changes that others made meanwhile
+     */
+    public record Refusal(Kind kind, String detail, List<Change> others) {
+        /** Kinds of refusal. */
+        public enum Kind {
+            /** Another change came first. */
+            STALE,
+            /** The change is proved not to be in force. */
+            PLATFORM_UNAVAILABLE,
+            /** The change may be in force. */
+            OUTCOME_UNKNOWN
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/platform/PlatformClient.java
@@ -0,0 +1,129 @@
+package org.sardineshunt.node.platform;
+
+import java.io.IOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.sardineshunt.kit.Json;
+
+/** Client of the platform's table service and object store. Thread-safe; results come on its own threads. */
+public final class PlatformClient implements AutoCloseable {
+    private static final MediaType JSON = MediaType.get("application/json");
+    private static final int CONFLICT = 409;
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int GATEWAY_TIMEOUT = 504;
+
+    private final String baseUrl;
+    private final OkHttpClient client;
+
+    /** Creates a client that gives each request this much time. */
+    public PlatformClient(String baseUrl, Duration timeout) {
+        this.baseUrl = baseUrl;
+        this.client = new OkHttpClient.Builder()
+                .callTimeout(timeout)
+                .retryOnConnectionFailure(false)
+                .build();
+    }
+
+    /** Applies a transaction; fails with a {@link PlatformFailure}. */
+    public CompletableFuture<TableRows.Outcome> transact(TableRows.Transaction transaction) {
+        RequestBody body = RequestBody.create(Json.line(transaction).getBytes(StandardCharsets.UTF_8), JSON);
+        Request request = new Request.Builder()
+                .url(baseUrl + "/table/transaction")
+                .post(body)
+                .build();
+        return send(request, true).thenCompose(content -> parse(content, TableRows.Outcome.class));
+    }
+
+    /** Reads rows with keys from one to another, the latter excluded; fails with a {@link PlatformFailure}. */
+    public CompletableFuture<TableRows.Rows> range(String from, String to, int limit) {
+        return get("/table/rows?from=" + encode(from) + "&to=" + encode(to) + "&limit=" + limit)
+                .thenCompose(content -> parse(content, TableRows.Rows.class));
+    }
+
+    /** Reads the row with a key, or no row; fails with a {@link PlatformFailure}. */
+    public CompletableFuture<TableRows.Rows> row(String key) {
+        return get("/table/row?key=" + encode(key)).thenCompose(content -> parse(content, TableRows.Rows.class));
+    }
+
+    /** Stores an object; fails with a {@link PlatformFailure}. */
+    public CompletableFuture<byte[]> putObject(String name, byte[] content) {
+        Request request = new Request.Builder()
+                .url(baseUrl + "/objects/" + encode(name))
+                .put(RequestBody.create(content))
+                .build();
+        return send(request, true);
+    }
+
+    /** Reads an object; fails with a {@link PlatformFailure}. */
+    public CompletableFuture<byte[]> getObject(String name) {
+        return get("/objects/" + encode(name));
+    }
+
+    @Override
+    public void close() {
+        client.dispatcher().cancelAll();
+        client.dispatcher().executorService().shutdown();
+        client.connectionPool().evictAll();
+    }
+
+    private CompletableFuture<byte[]> get(String path) {
+        return send(new Request.Builder().url(baseUrl + path).build(), false);
+    }
+
+    private CompletableFuture<byte[]> send(Request request, boolean write) {
+        CompletableFuture<byte[]> result = new CompletableFuture<>();
+        client.newCall(request).enqueue(new Callback() {
+            @Override
+            public void onFailure(Call call, IOException failure) {
+                boolean refused = failure instanceof java.net.ConnectException;
+                result.completeExceptionally(
+                        new PlatformFailure(write && !refused, "platform not reached: " + failure.getMessage()));
+            }
+
+            @Override
+            public void onResponse(Call call, Response response) {
+                try (response) {
+                    complete(result, response, write);
+                } catch (IOException cut) {
+                    result.completeExceptionally(new PlatformFailure(write, "answer cut: " + cut.getMessage()));
+                }
+            }
+        });
+        return result;
+    }
+
+    private static void complete(CompletableFuture<byte[]> result, Response response, boolean write)
+            throws IOException {
+        byte[] content = response.body().bytes();
+        if (response.isSuccessful() || response.code() == CONFLICT) {
+            result.complete(content);
+            return;
+        }
+        boolean unknown = write
+                && response.code() >= 500
+                && response.code() != TOO_MANY_REQUESTS
+                && (response.code() == GATEWAY_TIMEOUT || response.code() != 503);
+        result.completeExceptionally(new PlatformFailure(unknown, "platform answered with status " + response.code()));
+    }
+
+    private static <T> CompletableFuture<T> parse(byte[] content, Class<T> type) {
+        return Json.read(content, type)
+                .fold(
+                        error -> CompletableFuture.failedFuture(new PlatformFailure(true, error)),
+                        CompletableFuture::completedFuture);
+    }
+
+    private static String encode(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/platform/TableRows.java
@@ -0,0 +1,56 @@
+package org.sardineshunt.node.platform;
+
+import java.util.List;
+
+/** Messages of the platform's table service. */
+public final class TableRows {
+    private TableRows() {}
+
+    /**
+     * A row.
+     *
+     * @param key its key
+     * @param version version of its last write; 0 for an absent row
+     * @param value its value; null for an absent row
+     */
+    public record Row(String key, long version, String value) {}
+
+    /**
+     * Rows in the order of their keys.
+     *
+     * @param rows the rows
+     */
+    public record Rows(List<Row> rows) {}
+
+    /**
+     * Requires a version of a row.
+     *
+     * @param key the row
+     * @param version its version; 0 requires that it is absent
+     */
+    public record Condition(String key, long version) {}
+
+    /**
+     * Sets or deletes a row.
+     *
+     * @param key the row
+     * @param value its new value; null deletes it
+     */
+    public record Write(String key, String value) {}
+
+    /**
+     * Writes that take effect together if all conditions hold.
+     *
+     * @param conditions what must hold
+     * @param writes what to write
+     */
+    public record Transaction(List<Condition> conditions, List<Write> writes) {}
+
+    /**
+     * Result of a transaction.
+     *
+     * @param version version of the written rows; 0 when it did not take effect
+     * @param conflicts rows whose conditions failed
+     */
+    public record Outcome(long version, List<Row> conflicts) {}
+}
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The platform: table service, object store, configuration and claims. */
+package org.sardineshunt.node.platform;
--- /dev/null
+++ b/service-kit/src/main/java/org/sardineshunt/kit/CommandLine.java
@@ -0,0 +1,34 @@
+package org.sardineshunt.kit;
+
+import java.io.PrintStream;
+import java.util.Arrays;
+
+import com.github.rvesse.airline.Cli;
+import com.github.rvesse.airline.parser.errors.ParseException;
+
+/** Runs an Airline command line: {@code --version}, {@code --help}, errors and exit codes are the same everywhere. */
+public final class CommandLine {
+    private CommandLine() {}
+
+    /** Parses the arguments, runs the chosen command and returns its exit code. */
+    public static ExitCode run(Cli<ProgramCommand> cli, PrintStream out, PrintStream err, String... arguments) {
+        if (Arrays.asList(arguments).contains("--version")) {
+            out.println(cli.getMetadata().getName() + " " + Version.TEXT);
+            return ExitCode.OK;
+        }
+        String[] effective = helpRequested(arguments) ? new String[] {"help"} : arguments;
+        try {
+            return cli.parse(effective).execute();
+        } catch (ParseException wrong) {
+            err.println(cli.getMetadata().getName() + ": " + wrong.getMessage() + " (see --help)");
+            return ExitCode.USAGE;
+        } catch (Exception failure) {
+            err.println(cli.getMetadata().getName() + ": " + failure);
+            return ExitCode.FAILED;
+        }
+    }
+
+    private static boolean helpRequested(String... arguments) {
+        return arguments.length == 0 || arguments[0].equals("--help");
+    }
+}
--- /dev/null
+++ b/service-kit/src/main/java/org/sardineshunt/kit/HttpCall.java
@@ -0,0 +1,52 @@
+package org.sardineshunt.kit;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+
+import io.vavr.control.Option;
+
+/**
+ * A received HTTP request with its whole body. Immutable, but the body is not copied.
+ *
+ * @param method method in upper case
+ * @param path path without query
+ * @param query query without its question mark, may be empty
+ * @param headers headers by name, whatever its case
+ * @param body whole body, may be empty
+ * @param pathValues values of the route's variables
+ */
+public record HttpCall(
+        String method,
+        String path,
+        String query,
+        Map<String, String> headers,
+        byte[] body,
+        Map<String, String> pathValues) {
+    /** Copies the headers. */
+    public HttpCall {
+        Objects.requireNonNull(method, "method");
+        Map<String, String> copy = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        copy.putAll(headers);
+        headers = copy;
+    }
+
+    /** Returns the value of a header. */
+    public Option<String> header(String name) {
+        return Option.of(headers.get(name));
+    }
+
+    /** Returns the value of a query parameter. */
+    public Option<String> parameter(String name) {
+        return io.vavr.collection.Stream.of(query.split("&"))
+                .filter(pair -> pair.startsWith(name + "="))
+                .map(pair -> java.net.URLDecoder.decode(
+                        pair.substring(name.length() + 1), java.nio.charset.StandardCharsets.UTF_8))
+                .headOption();
+    }
+
+    /** Returns path and query as they were received. */
+    public String target() {
+        return query.isEmpty() ? path : path + '?' + query;
+    }
+}
--- /dev/null
+++ b/service-kit/src/main/java/org/sardineshunt/kit/HttpEndpoint.java
@@ -0,0 +1,221 @@
+package org.sardineshunt.kit;
+
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.stream.Collectors;
+
+import io.jooby.Context;
+import io.jooby.ExecutionMode;
+import io.jooby.Jooby;
+import io.jooby.ServerOptions;
+import io.jooby.StartupSummary;
+import io.jooby.StatusCode;
+import io.jooby.exception.StatusCodeException;
+import io.jooby.netty.NettyServer;
+import org.jboss.logging.Logger;
+
+/**
+ * An HTTP/1.1 server whose handlers run on its event loops.
+ *
+ * <pre>{@code
+ * HttpEndpoint endpoint = HttpEndpoint.builder()
+ *         .port(0)
+ *         .route("GET", "/health", call -> CompletableFuture.completedFuture(reply))
+ *         .start();
+ * }</pre>
+ *
+ * <p>Malformed requests and bodies over the limit are answered with a client error by the server itself. Bodies of
+ * media type {@code application/x-www-form-urlencoded} are passed on with the same fields but may be encoded otherwise;
+ * multipart bodies are refused with status 415.
+ */
+public final class HttpEndpoint implements AutoCloseable {
+    private static final Logger LOG = Logger.getLogger(HttpEndpoint.class);
+    private static final int BIND_ATTEMPTS = 10;
+
+    private final NettyServer server;
+    private final int port;
+
+    private HttpEndpoint(NettyServer server, int port) {
+        this.server = server;
+        this.port = port;
+    }
+
+    /** Returns a builder for a loopback endpoint on a port chosen by the system. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Returns the port that it listens on. */
+    public int port() {
+        return port;
+    }
+
+    /** Stops listening and closes all connections. */
+    @Override
+    public void close() {
+        server.stop();
+    }
+
+    private record RouteEntry(String method, String pattern, HttpHandler handler) {}
+
+    /** Builds and starts an {@link HttpEndpoint}. Not thread-safe. */
+    public static final class Builder {
+        private final List<RouteEntry> routes = new ArrayList<>();
+        private String host = "127.0.0.1";
+        private int port;
+        private int eventLoops = 1;
+        private int maxBodyBytes = 1 << 20;
+        private int maxHeaderBytes = 16 << 10;
+
+        private Builder() {}
+
+        /** Sets the IP number to listen on. */
+        public Builder host(String ipNumber) {
+            host = ipNumber;
+            return this;
+        }
+
+        /** Sets the port; 0 lets the system choose one. */
+        public Builder port(int number) {
+            port = number;
+            return this;
+        }
+
+        /** Sets the number of event loop threads. */
+        public Builder eventLoops(int threads) {
+            eventLoops = threads;
+            return this;
+        }
+
+        /** Sets the longest accepted request body in bytes. */
+        public Builder maxBodyBytes(int bytes) {
+            maxBodyBytes = bytes;
+            return this;
+        }
+
+        /** Adds a handler; the pattern is Jooby's, such as {@code /a/{id}} or {@code /*}. */
+        public Builder route(String method, String pattern, HttpHandler handler) {
+            routes.add(new RouteEntry(method, pattern, handler));
+            return this;
+        }
+
+        /**
+         * Starts listening.
+         *
+         * @throws IllegalStateException if the port can't be bound
+         */
+        public HttpEndpoint start() {
+            RuntimeException lastFailure = null;
+            for (int attempt = 0; attempt < (port == 0 ? BIND_ATTEMPTS : 1); attempt++) {
+                try {
+                    return startOnce();
+                } catch (RuntimeException bindFailure) {
+                    lastFailure = bindFailure;
+                }
+            }
+            throw new IllegalStateException("can't listen on " + host + ":" + port, lastFailure);
+        }
+
+        private HttpEndpoint startOnce() {
+            ServerOptions options = new ServerOptions()
+                    .setPort(port)
+                    .setIoThreads(eventLoops)
+                    .setWorkerThreads(1)
+                    .setMaxRequestSize(maxBodyBytes)
+                    .setMaxHeaderSize(maxHeaderBytes)
+                    .setDefaultHeaders(false);
+            options.setHost(host);
+            NettyServer server = new NettyServer();
+            server.setOptions(options);
+            Jooby application = Jooby.createApp(ExecutionMode.EVENT_LOOP, this::application);
+            server.start(application);
+            return new HttpEndpoint(server, options.getPort());
+        }
+
+        private Jooby application() {
+            Jooby application = new Jooby();
+            application.setStartupSummary(List.of(StartupSummary.NONE));
+            application.error((context, cause, statusCode) -> send(
+                    context,
+                    HttpReply.problem(statusCode.value(), statusCode.reason(), String.valueOf(cause.getMessage()))));
+            routes.forEach(entry -> application.route(
+                    entry.method(), entry.pattern(), context -> answerLater(context, entry.handler())));
+            return application;
+        }
+
+        private static Object answerLater(Context context, HttpHandler handler) throws Exception {
+            HttpCall call = read(context);
+            return context.detach(detached -> {
+                invoke(handler, call).whenComplete((reply, failure) -> {
+                    if (failure != null) {
+                        LOG.errorf(failure, "handler of %s %s failed", call.method(), call.path());
+                    }
+                    send(detached, failure == null ? reply : HttpReply.problem(500, "internal error", "see the log"));
+                });
+                return detached;
+            });
+        }
+
+        private static CompletionStage<HttpReply> invoke(HttpHandler handler, HttpCall call) {
+            try {
+                return handler.handle(call);
+            } catch (RuntimeException failure) {
+                return CompletableFuture.failedFuture(failure);
+            }
+        }
+
+        private static HttpCall read(Context context) {
+            String query = context.queryString();
+            return new HttpCall(
+                    context.getMethod(),
+                    context.getRequestPath(),
+                    query.startsWith("?") ? query.substring(1) : query,
+                    context.headerMap(),
+                    body(context),
+                    new LinkedHashMap<>(context.pathMap()));
+        }
+
+        // Jooby parses form bodies while they arrive and keeps no raw bytes; they are encoded again.
+        private static byte[] body(Context context) {
+            String mediaType = context.header("Content-Type").value("").toLowerCase(Locale.ROOT);
+            if (mediaType.startsWith("multipart/")) {
+                throw new StatusCodeException(StatusCode.UNSUPPORTED_MEDIA_TYPE, "multipart bodies are not supported");
+            }
+            if (!mediaType.startsWith("application/x-www-form-urlencoded")) {
+                return context.body().bytes();
+            }
+            return context.form().toMultimap().entrySet().stream()
+                    .flatMap(field ->
+                            field.getValue().stream().map(value -> encode(field.getKey()) + '=' + encode(value)))
+                    .collect(Collectors.joining("&"))
+                    .getBytes(StandardCharsets.UTF_8);
+        }
+
+        private static String encode(String text) {
+            return URLEncoder.encode(text, StandardCharsets.UTF_8);
+        }
+
+        private static void send(Context context, HttpReply reply) {
+            try {
+                context.setResponseCode(reply.status());
+                for (Map.Entry<String, String> header : reply.headers()) {
+                    if (header.getKey().equalsIgnoreCase("Content-Type")) {
+                        context.setResponseType(header.getValue());
+                    } else {
+                        context.setResponseHeader(header.getKey(), header.getValue());
+                    }
+                }
+                context.send(reply.body());
+            } catch (RuntimeException gone) {
+                LOG.debugf(gone, "answer to %s could not be sent", context.getRequestPath());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/service-kit/src/main/java/org/sardineshunt/kit/HttpHandler.java
@@ -0,0 +1,10 @@
+package org.sardineshunt.kit;
+
+import java.util.concurrent.CompletionStage;
+
+/** Answers HTTP requests without blocking the calling thread. */
+@FunctionalInterface
+public interface HttpHandler {
+    /** Returns the reply to a request; a failed stage becomes status 500. */
+    CompletionStage<HttpReply> handle(HttpCall call);
+}
--- /dev/null
+++ b/service-kit/src/main/java/org/sardineshunt/kit/Json.java
@@ -0,0 +1,111 @@
+package org.sardineshunt.kit;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.stream.Collectors;
+
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.vavr.control.Either;
+
+/**
+ * Reads and writes JSON. Unknown keys, wrong types and missing numbers are refused with their place. Thread-safe.
+ */
+public final class Json {
+    private static final ObjectMapper MAPPER = JsonMapper.builder()
+            .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+            .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
+            .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .disable(com.fasterxml.jackson.databind.MapperFeature.ALLOW_COERCION_OF_SCALARS)
+            .build();
+
+    private Json() {}
+
+    /** Returns the value of a settings file with comments, or a message with file, line and column. */
+    public static <T> Either<String, T> readFile(Path file, Class<T> type) {
+        try {
+            return read(file.toString(), Files.readString(file), type);
+        } catch (IOException unreadable) {
+            return Either.left(file + ": can't be read: " + unreadable.getMessage());
+        }
+    }
+
+    /** Returns the value of a text, or a message with the source's name, line and column. */
+    public static <T> Either<String, T> read(String source, String text, Class<T> type) {
+        try {
+            T value = MAPPER.readValue(text, type);
+            return value == null ? Either.left(source + ": holds no value") : Either.right(value);
+        } catch (JsonProcessingException malformed) {
+            return Either.left(describe(source, malformed));
+        }
+    }
+
+    /** Returns the value of a message body, or a message with line and column. */
+    public static <T> Either<String, T> read(byte[] body, Class<T> type) {
+        return read("body", new String(body, StandardCharsets.UTF_8), type);
+    }
+
+    /** Returns a tree without binding it to a type. */
+    public static Either<String, JsonNode> readTree(byte[] body) {
+        return read(body, JsonNode.class);
+    }
+
+    /** Returns a value as one line. */
+    public static String line(Object value) {
+        try {
+            return MAPPER.writeValueAsString(value);
+        } catch (JsonProcessingException impossible) {
+            throw new IllegalArgumentException("value can't be written as JSON: " + value, impossible);
+        }
+    }
+
+    /** Returns a value as indented text. */
+    public static String pretty(Object value) {
+        try {
+            return MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(value);
+        } catch (JsonProcessingException impossible) {
+            throw new IllegalArgumentException("value can't be written as JSON: " + value, impossible);
+        }
+    }
+
+    private static String describe(String source, JsonProcessingException malformed) {
+        JsonLocation location = malformed.getLocation();
+        String place = location == null
+                ? source
+                : source + ": line " + location.getLineNr() + ", column " + location.getColumnNr();
+        return place + ": " + path(malformed) + explanation(malformed);
+    }
+
+    private static String path(JsonProcessingException malformed) {
+        if (!(malformed instanceof JsonMappingException mapping)
+                || mapping.getPath().isEmpty()) {
+            return "";
+        }
+        return mapping.getPath().stream()
+                        .map(step -> step.getFieldName() == null ? "[" + step.getIndex() + "]" : step.getFieldName())
+                        .collect(Collectors.joining("."))
+                + ": ";
+    }
+
+    private static String explanation(JsonProcessingException malformed) {
+        if (malformed instanceof UnrecognizedPropertyException unknown) {
+            return "unknown key '" + unknown.getPropertyName() + "'; allowed: "
+                    + unknown.getKnownPropertyIds().stream()
+                            .map(String::valueOf)
+                            .sorted()
+                            .collect(Collectors.joining(", "));
+        }
+        Throwable cause = malformed.getCause();
+        return cause instanceof IllegalArgumentException ? cause.getMessage() : malformed.getOriginalMessage();
+    }
+}
--- /dev/null
+++ b/service-kit/src/main/java/org/sardineshunt/kit/Version.java
@@ -0,0 +1,9 @@
+package org.sardineshunt.kit;
+
+/** Version of the programs. */
+public final class Version {
+    /** The version that {@code --version} prints. */
+    public static final String TEXT = "0.1.0";
+
+    private Version() {}
+}
--- /dev/null
+++ b/service-kit/src/main/java/org/sardineshunt/kit/package-info.java
@@ -0,0 +1,2 @@
+/** What the programs share: checked settings, logs, metrics, HTTP endpoints and exit codes. */
+package org.sardineshunt.kit;
