--- /dev/null
+++ b/control/src/main/java/org/sardineshunt/control/NodeClient.java
@@ -0,0 +1,69 @@
+package org.sardineshunt.control;
+
+import java.io.IOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+
+import io.vavr.control.Either;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.sardineshunt.kit.ExitCode;
+import org.sardineshunt.kit.Json;
+
+/** Asks the operator port of a node. */
+final class NodeClient {
+    private final String baseUrl;
+    private final OkHttpClient client =
+            new OkHttpClient.Builder().callTimeout(Duration.ofSeconds(10)).build();
+
+    NodeClient(String baseUrl) {
+        this.baseUrl = baseUrl.replaceAll("/+$", "");
+    }
+
+    <T> Either<Problem, T> get(String path, Class<T> type) {
+        return send(new Request.Builder().url(baseUrl + path).build(), type);
+    }
+
+    <T> Either<Problem, T> post(String path, Object value, Class<T> type) {
+        RequestBody body = RequestBody.create(
+                Json.line(value).getBytes(StandardCharsets.UTF_8), MediaType.get("application/json"));
+        return send(new Request.Builder().url(baseUrl + path).post(body).build(), type);
+    }
+
+    <T> Either<Problem, T> delete(String path, Class<T> type) {
+        return send(new Request.Builder().url(baseUrl + path).delete().build(), type);
+    }
+
+    static String encode(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+
+    private <T> Either<Problem, T> send(Request request, Class<T> type) {
+        try (Response response = client.newCall(request).execute()) {
+            byte[] content = response.body().bytes();
+            return Json.read(content, type).mapLeft(error -> new Problem(ExitCode.FAILED, detail(response, content)));
+        } catch (IOException unreachable) {
+            return Either.left(new Problem(
+                    ExitCode.UNREACHABLE, "node at " + baseUrl + " not reached: " + unreachable.getMessage()));
+        }
+    }
+
+    private static String detail(Response response, byte[] content) {
+        return Json.readTree(content)
+                .map(tree -> tree.path("title").asText("") + ": "
+                        + tree.path("detail").asText(""))
+                .getOrElse("status " + response.code());
+    }
+
+    /**
+     * Why a request failed.
+     *
+     * @param code exit code for it
+     * @param message explanation
+     */
+    record Problem(ExitCode code, String message) {}
+}
--- /dev/null
+++ b/control/src/main/java/org/sardineshunt/control/NodeCommand.java
@@ -0,0 +1,35 @@
+package org.sardineshunt.control;
+
+import java.util.function.Function;
+
+import com.github.rvesse.airline.annotations.Option;
+import io.vavr.control.Either;
+import org.sardineshunt.control.NodeClient.Problem;
+import org.sardineshunt.kit.ExitCode;
+import org.sardineshunt.kit.Json;
+import org.sardineshunt.kit.ProgramCommand;
+
+/** A command that asks one node and prints its report as a table or as JSON. */
+abstract class NodeCommand implements ProgramCommand {
+    @Option(name = "--node", description = "Operator URL of any node; default http://127.0.0.1:7201")
+    private String node = "http://127.0.0.1:7201";
+
+    @Option(name = "--json", description = "Print JSON")
+    private boolean json;
+
+    NodeClient client() {
+        return new NodeClient(node);
+    }
+
+    <T> ExitCode print(Either<Problem, T> result, Function<T, String> table) {
+        return result.fold(NodeCommand::fail, report -> {
+            System.out.println(json ? Json.pretty(report) : table.apply(report));
+            return ExitCode.OK;
+        });
+    }
+
+    static ExitCode fail(Problem problem) {
+        System.err.println(problem.message());
+        return problem.code();
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/sardineshunt/control/package-info.java
@@ -0,0 +1,2 @@
+/** The command line of operators. */
+package org.sardineshunt.control;
--- /dev/null
+++ b/load/src/main/java/org/sardineshunt/load/LoadMain.java
@@ -0,0 +1,125 @@
+package org.sardineshunt.load;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import com.github.rvesse.airline.builder.CliBuilder;
+import io.vavr.control.Either;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.sardineshunt.kit.CommandLine;
+import org.sardineshunt.kit.ExitCode;
+import org.sardineshunt.kit.HelpCommand;
+import org.sardineshunt.kit.Json;
+import org.sardineshunt.kit.ProgramCommand;
+import org.sardineshunt.load.LoadPlan.Phase;
+
+/** The program {@code sardineshunt-load}. */
+public final class LoadMain {
+    private LoadMain() {}
+
+    /** Runs the program. */
+    public static void main(String[] arguments) {
+        CliBuilder<ProgramCommand> cli = new CliBuilder<ProgramCommand>("sardineshunt-load")
+                .withDescription("Open-loop load by rank, and experiments")
+                .withDefaultCommand(HelpCommand.class)
+                .withCommands(List.of(HelpCommand.class, RunCommand.class));
+        System.exit(
+                CommandLine.run(cli.build(), System.out, System.err, arguments).code());
+    }
+
+    /** Sends load to running nodes. */
+    @Command(name = "run", description = "Send load to running nodes and check every answer")
+    public static final class RunCommand implements ProgramCommand {
+        @Required
+        @Option(name = "--deployment", description = "Deployment file that names the kinds of requests")
+        private String deploymentFile;
+
+        @Required
+        @Option(name = "--targets", description = "Base URLs of nodes for callers, separated by commas")
+        private String targets;
+
+        @Option(name = "--backend-servers", description = "Base URLs of backend servers, to count runs")
+        private String backendServers = "";
+
+        @Option(name = "--kinds", description = "Kinds to send, separated by commas; default all")
+        private String kinds = "";
+
+        @Option(name = "--factor", description = "Factor on the usual rates")
+        private double factor = 1;
+
+        @Option(name = "--seconds", description = "Length of the run")
+        private int seconds = 10;
+
+        @Option(name = "--seed", description = "Seed of the arrival times")
+        private long seed = 1;
+
+        @Option(name = "--out", description = "File for the report as JSON")
+        private String out;
+
+        @Override
+        public ExitCode execute() throws IOException {
+            Either<String, Deployment> read = Deployment.read(Path.of(deploymentFile));
+            if (read.isLeft()) {
+                System.err.println(read.getLeft());
+                return ExitCode.SETTINGS;
+            }
+            LoadReport report = run(read.get());
+            System.out.print(report.table());
+            if (out != null) {
+                Files.writeString(Path.of(out), Json.pretty(report));
+            }
+            return report.safety().holds() ? ExitCode.OK : ExitCode.FAILED;
+        }
+
+        private LoadReport run(Deployment deployment) throws IOException {
+            List<String> chosen = split(kinds);
+            List<Deployment.WorkKind> sent = deployment.kinds().stream()
+                    .filter(kind -> chosen.isEmpty() || chosen.contains(kind.name()))
+                    .toList();
+            Map<String, Double> factors = new TreeMap<>();
+            sent.forEach(kind -> factors.put(kind.name(), factor));
+            LoadPlan plan = LoadPlan.draw(sent, List.of(new Phase("run", 0, seconds * 1_000L, factors)), seed);
+            try (LoadClient client = new LoadClient(split(targets), 0)) {
+                String prefix = "w" + seed + "-" + Long.toString(System.currentTimeMillis(), 36);
+                LoadRunner runner = new LoadRunner(
+                        client,
+                        prefix,
+                        count -> System.err.println(
+                                "sent " + count + " of " + plan.arrivals().size()));
+                return LoadReport.of(runner.run(plan), runs());
+            }
+        }
+
+        private Map<String, Integer> runs() throws IOException {
+            Map<String, Integer> all = new TreeMap<>();
+            OkHttpClient client = new OkHttpClient();
+            for (String server : split(backendServers)) {
+                Request request =
+                        new Request.Builder().url(server + "/control/runs").build();
+                try (Response response = client.newCall(request).execute()) {
+                    Json.readTree(response.body().bytes()).forEach(tree -> tree.fields()
+                            .forEachRemaining(entry ->
+                                    all.merge(entry.getKey(), entry.getValue().asInt(), Integer::sum)));
+                }
+            }
+            return all;
+        }
+
+        private static List<String> split(String list) {
+            return Arrays.stream(list.split(","))
+                    .map(String::strip)
+                    .filter(text -> !text.isEmpty())
+                    .toList();
+        }
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/sardineshunt/load/LoadReport.java
@@ -0,0 +1,165 @@
+package org.sardineshunt.load;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+
+import org.HdrHistogram.Histogram;
+import org.sardineshunt.load.LoadPlan.Arrival;
+import org.sardineshunt.load.RequestResult.Check;
+
+/**
+ * Figures of a run. Immutable.
+ *
+ * @param kinds figures by kind and phase
+ * @param safety counts of broken promises; all must be 0
+ */
+record LoadReport(List<KindFigures> kinds, Safety safety) {
+    private static final long HIGHEST_MICROS = 120_000_000;
+
+    /**
+     * Makes a report.
+     *
+     * @param runs how often each work id was run by backend servers, all of them together; empty when not known
+     */
+    static LoadReport of(List<RequestResult> results, Map<String, Integer> runs) {
+        Map<String, List<RequestResult>> groups = results.stream()
+                .collect(Collectors.groupingBy(
+                        result -> result.arrival().phase()
+                                + '\n'
+                                + result.arrival().kind().name(),
+                        TreeMap::new,
+                        Collectors.toList()));
+        List<KindFigures> figures = groups.values().stream()
+                .map(KindFigures::of)
+                .sorted(Comparator.comparing(KindFigures::phase).thenComparing(KindFigures::kind))
+                .toList();
+        return new LoadReport(figures, Safety.of(results, runs));
+    }
+
+    String table() {
+        StringBuilder text = new StringBuilder(String.format(
+                "%-12s %-12s %7s %8s %8s %6s %8s %8s %8s %9s%n",
+                "PHASE", "KIND", "SENT", "IN TIME", "REFUSED", "LATE", "P50 MS", "P99 MS", "P99.9 MS", "WORTH"));
+        kinds.forEach(kind -> text.append(String.format(
+                "%-12s %-12s %7d %7.2f%% %7.2f%% %6d %8.1f %8.1f %8.1f %8.1f%%%n",
+                kind.phase(),
+                kind.kind(),
+                kind.sent(),
+                100.0 * kind.inTime() / kind.sent(),
+                100.0 * kind.refused() / kind.sent(),
+                kind.late(),
+                kind.medianMillis(),
+                kind.p99Millis(),
+                kind.p999Millis(),
+                100.0 * kind.inTime() / kind.sent())));
+        kinds.stream()
+                .filter(kind -> !kind.reasons().isEmpty())
+                .forEach(kind -> text.append(
+                        kind.phase() + ' ' + kind.kind() + " not served: " + kind.reasons() + System.lineSeparator()));
+        return text + safety.text();
+    }
+
+    /**
+     * Figures of one kind in one phase.
+     *
+     * @param phase the phase
+     * @param kind the kind
+     * @param sent requests
+     * @param inTime requests served within their target
+     * @param refused requests that ended as not run
+     * @param unresolved requests that ended as may have run
+     * @param late requests served after their target
+     * @param sends sends of all requests together
+     * @param medianMillis median latency of served requests
+     * @param p99Millis 99th percentile
+     * @param p999Millis 99.9th percentile
+     * @param worthKept worth of the requests served in time
+     * @param worthSent worth of all requests
+     * @param reasons reasons of requests that were not served
+     */
+    record KindFigures(
+            String phase,
+            String kind,
+            int sent,
+            int inTime,
+            int refused,
+            int unresolved,
+            int late,
+            int sends,
+            double medianMillis,
+            double p99Millis,
+            double p999Millis,
+            double worthKept,
+            double worthSent,
+            Map<String, Integer> reasons) {
+        private static KindFigures of(List<RequestResult> results) {
+            Arrival first = results.get(0).arrival();
+            Histogram histogram = new Histogram(HIGHEST_MICROS, 3);
+            results.stream()
+                    .filter(RequestResult::served)
+                    .forEach(result -> histogram.recordValue(
+                            Math.min(HIGHEST_MICROS, Math.max(0, Math.round(result.latencyMillis() * 1_000)))));
+            int inTime = count(results, RequestResult::inTime);
+            Map<String, Integer> reasons = new TreeMap<>();
+            results.stream()
+                    .filter(result -> !result.served())
+                    .forEach(result -> reasons.merge(result.verdict() + '/' + result.reason(), 1, Integer::sum));
+            return new KindFigures(
+                    first.phase(),
+                    first.kind().name(),
+                    results.size(),
+                    inTime,
+                    count(results, result -> result.verdict().equals("not-run")),
+                    count(results, result -> result.verdict().equals("may-have-run")),
+                    count(results, result -> result.served() && !result.inTime()),
+                    results.stream().mapToInt(RequestResult::sends).sum(),
+                    histogram.getValueAtPercentile(50) / 1_000.0,
+                    histogram.getValueAtPercentile(99) / 1_000.0,
+                    histogram.getValueAtPercentile(99.9) / 1_000.0,
+                    inTime * first.kind().worth(),
+                    results.size() * first.kind().worth(),
+                    reasons);
+        }
+    }
+
+    /**
+     * Broken promises.
+     *
+     * @param doubles keyed requests that ran more than once
+     * @param falseNotRun requests that ended as not run but ran
+     * @param lost requests that ended as served but did not run
+     * @param wrongOwner answers of another request
+     * @param cut answers cut short
+     */
+    record Safety(int doubles, int falseNotRun, int lost, int wrongOwner, int cut) {
+        private static Safety of(List<RequestResult> results, Map<String, Integer> runs) {
+            List<RequestResult> keyed = results.stream()
+                    .filter(result -> result.arrival().kind().keyed())
+                    .toList();
+            return new Safety(
+                    count(keyed, result -> runs.getOrDefault(result.workId(), 0) > 1),
+                    count(keyed, result -> result.verdict().equals("not-run") && runs.containsKey(result.workId())),
+                    runs.isEmpty() ? 0 : count(keyed, result -> result.served() && !runs.containsKey(result.workId())),
+                    count(results, result -> result.check() == Check.WRONG_OWNER),
+                    count(results, result -> result.check() == Check.CUT));
+        }
+
+        boolean holds() {
+            return doubles + falseNotRun + lost + wrongOwner + cut == 0;
+        }
+
+        String text() {
+            return String.format(
+                    "doubles %d, false not-run %d, lost %d, wrong owner %d, cut %d%n",
+                    doubles, falseNotRun, lost, wrongOwner, cut);
+        }
+    }
+
+    private static int count(List<RequestResult> results, Predicate<RequestResult> condition) {
+        return (int) results.stream().filter(condition).count();
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/sardineshunt/load/LocalFleet.java
@@ -0,0 +1,241 @@
+package org.sardineshunt.load;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
+
+import org.sardineshunt.load.Deployment.ServiceSize;
+import org.sardineshunt.node.Node;
+import org.sardineshunt.node.NodeSettings;
+import org.sardineshunt.node.peer.FrameFilter;
+import org.sardineshunt.standin.BackendServerStandIn;
+import org.sardineshunt.standin.PlatformStandIn;
+import org.sardineshunt.standin.ServerOptions;
+
+/**
+ * Nodes, backend servers and the platform stand-in in one process, on loopback ports chosen by the system.
+ *
+ * <p>Peer links can be cut in one direction, and nodes and backend servers killed and started again. Not thread-safe,
+ * but for {@link #runs()}.
+ */
+public final class LocalFleet implements AutoCloseable {
+    private static final long JOIN_SECONDS = 20;
+
+    private final Deployment deployment;
+    private final NodeSettings template;
+    private final UnaryOperator<NodeSettings> adjust;
+    private final PlatformStandIn platform;
+    private final Map<String, Node> nodes = new LinkedHashMap<>();
+    private final Map<String, BackendServerStandIn> servers = new LinkedHashMap<>();
+    private final Map<String, String> homes = new LinkedHashMap<>();
+    private final Map<String, Integer> runsOfEnded = new ConcurrentHashMap<>();
+    private final Set<String> cuts = ConcurrentHashMap.newKeySet();
+    private final Set<String> crashed = ConcurrentHashMap.newKeySet();
+
+    private LocalFleet(Deployment deployment, NodeSettings template, UnaryOperator<NodeSettings> adjust) {
+        this.deployment = deployment;
+        this.template = template;
+        this.adjust = adjust;
+        this.platform = PlatformStandIn.start(0);
+    }
+
+    /**
+     * Starts a fleet and waits until all nodes serve and all upstreams are in rotation.
+     *
+     * @param adjust changes the settings of each node
+     */
+    public static LocalFleet start(Deployment deployment, NodeSettings template, UnaryOperator<NodeSettings> adjust) {
+        LocalFleet fleet = new LocalFleet(deployment, template, adjust);
+        for (String dataCentre : deployment.dataCentres()) {
+            for (int number = 1; number <= deployment.nodesPerDataCentre(); number++) {
+                fleet.startNode(dataCentre + "-n" + number, dataCentre);
+            }
+        }
+        fleet.startServers();
+        fleet.awaitUpstreams();
+        return fleet;
+    }
+
+    /** Returns the platform stand-in. */
+    public PlatformStandIn platform() {
+        return platform;
+    }
+
+    /** Returns the names of all running nodes. */
+    public List<String> nodeIds() {
+        return List.copyOf(nodes.keySet());
+    }
+
+    /** Returns a running node. */
+    public Node node(String nodeId) {
+        return nodes.get(nodeId);
+    }
+
+    /** Returns a running backend server. */
+    public BackendServerStandIn server(String upstreamId) {
+        return servers.get(upstreamId);
+    }
+
+    /** Returns the names of the upstreams of a service. */
+    public List<String> upstreams(String service) {
+        return servers.keySet().stream()
+                .filter(id -> id.startsWith(service + "-"))
+                .toList();
+    }
+
+    /** Returns the home node of an upstream. */
+    public String homeOf(String upstreamId) {
+        return homes.get(upstreamId);
+    }
+
+    /** Returns the base URLs for callers. */
+    public List<String> callerUrls() {
+        return nodes.values().stream()
+                .map(node -> "http://127.0.0.1:" + node.callerPort())
+                .toList();
+    }
+
+    /** Returns the operator URL of a node. */
+    public String operatorUrl(String nodeId) {
+        return "http://127.0.0.1:" + nodes.get(nodeId).operatorPort();
+    }
+
+    /** Drops all frames from one node to another, without closing anything. */
+    public void cut(String from, String to) {
+        cuts.add(from + '>' + to);
+    }
+
+    /** Lets all frames pass again. */
+    public void heal() {
+        cuts.clear();
+    }
+
+    /** Ends a node at once. */
+    public void killNode(String nodeId) {
+        nodes.remove(nodeId).kill();
+    }
+
+    /** Stops a node gracefully; returns whether nothing was cut off. */
+    public boolean stopNode(String nodeId) {
+        return nodes.remove(nodeId).stop();
+    }
+
+    /** Starts a node with some name in a data centre, and the backend servers that call it home. */
+    public Node startNode(String nodeId, String dataCentre) {
+        List<String> seeds = nodes.values().stream()
+                .limit(3)
+                .map(node -> "127.0.0.1:" + node.peerPort())
+                .toList();
+        NodeSettings settings = adjust.apply(new NodeSettings(
+                nodeId,
+                dataCentre,
+                deployment.region(),
+                new NodeSettings.Ports("127.0.0.1", 0, 0, 0),
+                seeds,
+                "http://127.0.0.1:" + platform.port(),
+                template.ranks(),
+                template.routes(),
+                template.floorShare(),
+                new NodeSettings.AccountSettings(1_000_000, 1_000_000, 100),
+                template.timing(),
+                template.limits()));
+        FrameFilter filter = remote -> !cuts.contains(nodeId + '>' + remote);
+        Node node = Node.start(settings, filter);
+        node.joined().orTimeout(JOIN_SECONDS, TimeUnit.SECONDS).join();
+        nodes.put(nodeId, node);
+        return node;
+    }
+
+    /** Starts a backend server that announces itself to a node; a crash closes it. */
+    public BackendServerStandIn startServer(ServerOptions options, String nodeId) {
+        BackendServerStandIn server =
+                BackendServerStandIn.start(options, () -> new Thread(() -> crashServer(options.id())).start());
+        servers.put(options.id(), server);
+        homes.put(options.id(), nodeId);
+        return server;
+    }
+
+    /** Closes a backend server at once, with all its connections. */
+    public void crashServer(String upstreamId) {
+        if (crashed.add(upstreamId)) {
+            BackendServerStandIn server = servers.get(upstreamId);
+            server.close();
+        }
+    }
+
+    /** Returns the names of the backend servers that crashed. */
+    public Set<String> crashedServers() {
+        return new HashSet<>(crashed);
+    }
+
+    /** Returns how often each work id was run, by all backend servers together. */
+    public Map<String, Integer> runs() {
+        Map<String, Integer> all = new TreeMap<>(runsOfEnded);
+        servers.values().forEach(server -> server.runs().forEach((id, count) -> all.merge(id, count, Integer::sum)));
+        return all;
+    }
+
+    /** Replaces a node and its backend servers: graceful stop, then a start under another incarnation. */
+    public boolean replaceNode(String nodeId, String dataCentre) {
+        List<String> own = homes.entrySet().stream()
+                .filter(entry -> entry.getValue().equals(nodeId))
+                .map(Map.Entry::getKey)
+                .toList();
+        boolean complete = stopNode(nodeId);
+        own.forEach(this::retireServer);
+        startNode(nodeId, dataCentre);
+        own.forEach(id -> startServer(options(id, nodeId), nodeId));
+        return complete;
+    }
+
+    @Override
+    public void close() {
+        servers.values().forEach(BackendServerStandIn::close);
+        nodes.values().forEach(Node::kill);
+        platform.close();
+    }
+
+    private void retireServer(String upstreamId) {
+        BackendServerStandIn server = servers.remove(upstreamId);
+        server.runs().forEach((id, count) -> runsOfEnded.merge(id, count, Integer::sum));
+        server.close();
+    }
+
+    private void startServers() {
+        List<String> nodeIds = nodeIds();
+        int next = 0;
+        for (ServiceSize service : deployment.services()) {
+            for (int number = 1; number <= service.upstreams(); number++) {
+                String nodeId = nodeIds.get(next++ % nodeIds.size());
+                String upstreamId = service.name() + "-" + number;
+                startServer(options(upstreamId, nodeId), nodeId);
+            }
+        }
+    }
+
+    private ServerOptions options(String upstreamId, String nodeId) {
+        String service = upstreamId.substring(0, upstreamId.lastIndexOf('-'));
+        ServiceSize size = deployment.services().stream()
+                .filter(candidate -> candidate.name().equals(service))
+                .findFirst()
+                .orElseThrow();
+        String number = upstreamId.substring(upstreamId.lastIndexOf('-') + 1);
+        return ServerOptions.of(upstreamId, service, nodes.get(nodeId).operatorPort())
+                .withCapacity(size.slots(), (int) size.serviceTime().millis())
+                .withLabels(Map.of("number", number));
+    }
+
+    private void awaitUpstreams() {
+        FleetProbe probe = new FleetProbe(this);
+        List<String> expected = new ArrayList<>(servers.keySet());
+        probe.await("all upstreams in rotation", () -> nodeIds().stream()
+                .allMatch(nodeId -> probe.inRotation(nodeId).containsAll(expected)));
+    }
+}
--- a/node/src/main/java/org/sardineshunt/node/operator/FleetReporter.java
+++ b/node/src/main/java/org/sardineshunt/node/operator/FleetReporter.java
@@ -14,17 +14,17 @@
 import org.sardineshunt.node.RotationView;
 import org.sardineshunt.node.RotationView.Located;
 import org.sardineshunt.node.RotationView.ServiceView;
-import org.sardineshunt.node.operator.OperatorReports.BehindReport;
-import org.sardineshunt.node.operator.OperatorReports.ChangeReport;
-import org.sardineshunt.node.operator.OperatorReports.ConflictReport;
-import org.sardineshunt.node.operator.OperatorReports.Explanation;
-import org.sardineshunt.node.operator.OperatorReports.IntentReport;
-import org.sardineshunt.node.operator.OperatorReports.MemberReport;
-import org.sardineshunt.node.operator.OperatorReports.Overrides;
-import org.sardineshunt.node.operator.OperatorReports.ServiceReport;
-import org.sardineshunt.node.operator.OperatorReports.UpstreamReport;
 import org.sardineshunt.node.peer.MembershipService;
 import org.sardineshunt.node.platform.ConfigurationService;
+import org.sardineshunt.protocol.operator.OperatorReports.BehindReport;
+import org.sardineshunt.protocol.operator.OperatorReports.ChangeReport;
+import org.sardineshunt.protocol.operator.OperatorReports.ConflictReport;
+import org.sardineshunt.protocol.operator.OperatorReports.Explanation;
+import org.sardineshunt.protocol.operator.OperatorReports.IntentReport;
+import org.sardineshunt.protocol.operator.OperatorReports.MemberReport;
+import org.sardineshunt.protocol.operator.OperatorReports.Overrides;
+import org.sardineshunt.protocol.operator.OperatorReports.ServiceReport;
+import org.sardineshunt.protocol.operator.OperatorReports.UpstreamReport;
 
 /** Makes the reports that operators read from what this node knows. Belongs to the control thread. */
 final class FleetReporter {
--- a/node/src/main/java/org/sardineshunt/node/operator/OperatorService.java
+++ b/node/src/main/java/org/sardineshunt/node/operator/OperatorService.java
@@ -20,12 +20,13 @@
 import org.sardineshunt.node.backendserver.Announcement;
 import org.sardineshunt.node.backendserver.HomeService;
 import org.sardineshunt.node.backendserver.HomeService.HomeContext;
-import org.sardineshunt.node.operator.OperatorReports.ChangeResult;
-import org.sardineshunt.node.operator.OperatorReports.Digest;
-import org.sardineshunt.node.operator.OperatorReports.Status;
 import org.sardineshunt.node.peer.MembershipService;
 import org.sardineshunt.node.platform.ConfigurationService;
 import org.sardineshunt.node.platform.ConfigurationService.Refusal;
+import org.sardineshunt.protocol.operator.OperatorReports.ChangeResult;
+import org.sardineshunt.protocol.operator.OperatorReports.Digest;
+import org.sardineshunt.protocol.operator.OperatorReports.IntentProposal;
+import org.sardineshunt.protocol.operator.OperatorReports.Status;
 
 /** Endpoints for operators, announcements and metrics. Thread-safe: decisions run on the control thread. */
 public final class OperatorService {
@@ -144,7 +145,8 @@
 
     private CompletionStage<HttpReply> propose(HttpCall call) {
         Either<String, IntentProposal> read = Json.read(call.body(), IntentProposal.class);
-        Either<String, Intent> intent = read.flatMap(proposal -> proposal.toIntent(System.currentTimeMillis()))
+        Either<String, Intent> intent = read.flatMap(
+                        proposal -> Proposals.toIntent(proposal, System.currentTimeMillis()))
                 .flatMap(this::checkRank);
         return intent.fold(
                 error -> done(HttpReply.problem(400, "malformed intent", error)),
--- a/node/src/main/java/org/sardineshunt/node/operator/StatusPage.java
+++ b/node/src/main/java/org/sardineshunt/node/operator/StatusPage.java
@@ -4,10 +4,10 @@
 import java.util.List;
 import java.util.stream.Collectors;
 
-import org.sardineshunt.node.operator.OperatorReports.IntentReport;
-import org.sardineshunt.node.operator.OperatorReports.Overrides;
-import org.sardineshunt.node.operator.OperatorReports.ServiceReport;
-import org.sardineshunt.node.operator.OperatorReports.Status;
+import org.sardineshunt.protocol.operator.OperatorReports.IntentReport;
+import org.sardineshunt.protocol.operator.OperatorReports.Overrides;
+import org.sardineshunt.protocol.operator.OperatorReports.ServiceReport;
+import org.sardineshunt.protocol.operator.OperatorReports.Status;
 
 /** Renders the plain status page that any node serves. */
 final class StatusPage {
--- a/node/src/main/java/org/sardineshunt/node/operator/OperatorReports.java
+++ b/protocol/src/main/java/org/sardineshunt/protocol/operator/OperatorReports.java
@@ -1,4 +1,4 @@
-package org.sardineshunt.node.operator;
+package org.sardineshunt.protocol.operator;
 
 import java.util.List;
 
@@ -175,4 +175,26 @@
      */
     public record ChangeResult(
             boolean accepted, long revision, String verdict, String detail, List<ChangeReport> others) {}
+
+    /**
+     * An intent that an operator wants to add or replace.
+     *
+     * @param id its name
+     * @param action what it does
+     * @param argument rank or share; may be absent
+     * @param selector text form of its selector
+     * @param author who sets it
+     * @param reason why
+     * @param lastsMillis how long it stays in force; absent for always
+     * @param against revision that the operator saw; absent for whatever is in force
+     */
+    public record IntentProposal(
+            String id,
+            String action,
+            String argument,
+            String selector,
+            String author,
+            String reason,
+            Long lastsMillis,
+            Long against) {}
 }
