Answer every caller after a lost peer link

Cause: the dispatcher took the failure of a link for a LinkFailure, but the future had wrapped it in a CompletionException. The cast threw inside a callback, where nothing logs it, and the flow never ended: callers waited for their own timeout (14 to 24 of about 4100 requests in the demo's first seconds, when cold processes miss deadlines and links time out).

Ruled out: lost entries in the home's queue (every queued attempt ends at its deadline), exceptions on the control thread (none in the logs).

Calls to peers now return Either and never fail, and a fault inside a dispatch ends its flow as may-have-run with an error in the log.

--- /dev/null
+++ b/load/src/test/java/org/sardineshunt/load/SmallFleet.java
@@ -0,0 +1,127 @@
+package org.sardineshunt.load;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.sardineshunt.kit.TimeSpan;
+import org.sardineshunt.load.Deployment.ServiceSize;
+import org.sardineshunt.load.Deployment.WorkKind;
+import org.sardineshunt.node.NodeSettings;
+import org.sardineshunt.node.NodeSettings.RankSettings;
+import org.sardineshunt.node.NodeSettings.RouteSettings;
+
+/** A fleet of a few nodes for failure tests, and single requests to it. */
+final class SmallFleet {
+    static final WorkKind BOOKING =
+            new WorkKind("booking", "booking", "POST", "/seats", true, new TimeSpan(3_000), 30, 40);
+    static final WorkKind STATUS =
+            new WorkKind("status", "status", "GET", "/seats", false, new TimeSpan(1_000), 100, 4);
+
+    private static final OkHttpClient CLIENT = new OkHttpClient.Builder()
+            .callTimeout(Duration.ofSeconds(10))
+            .retryOnConnectionFailure(false)
+            .build();
+
+    private SmallFleet() {}
+
+    /** Starts one node in each of three data centres, with this many upstreams of seat-booking. */
+    static LocalFleet start(int upstreams) {
+        return start(upstreams, 10);
+    }
+
+    static LocalFleet start(int upstreams, long serviceMillis) {
+        Deployment deployment = new Deployment(
+                "region",
+                List.of("dc-1", "dc-2", "dc-3"),
+                1,
+                new TimeSpan(0),
+                "unused",
+                List.of(new ServiceSize("seat-booking", upstreams, 4, new TimeSpan(serviceMillis))),
+                List.of(BOOKING, STATUS));
+        return LocalFleet.start(deployment, template(), settings -> settings);
+    }
+
+    static NodeSettings template() {
+        return new NodeSettings(
+                "template",
+                "dc",
+                "region",
+                null,
+                null,
+                "http://127.0.0.1:1",
+                List.of(new RankSettings("booking", 0.2), new RankSettings("status", 0.1)),
+                List.of(
+                        new RouteSettings(
+                                "POST", "/plain", "seat-booking", "booking", false, false, new TimeSpan(2_000)),
+                        new RouteSettings(
+                                "POST", "/seats", "seat-booking", "booking", false, true, new TimeSpan(3_000)),
+                        new RouteSettings("GET", "/seats", "seat-booking", "status", true, false, new TimeSpan(1_000))),
+                0.5,
+                null,
+                new NodeSettings.TimingSettings(
+                        new TimeSpan(500),
+                        new TimeSpan(150),
+                        new TimeSpan(900),
+                        new TimeSpan(1_500),
+                        new TimeSpan(300),
+                        new TimeSpan(500),
+                        new TimeSpan(500),
+                        new TimeSpan(10_000)),
+                null);
+    }
+
+    /** Sends one request to a node and returns its whole answer. */
+    static Reply send(LocalFleet fleet, String nodeId, String method, String path, Map<String, String> headers) {
+        return send("http://127.0.0.1:" + fleet.node(nodeId).callerPort() + path, method, headers);
+    }
+
+    static Reply send(String url, String method, Map<String, String> headers) {
+        RequestBody body = method.equals("GET") ? null : RequestBody.create("{}".getBytes());
+        Request.Builder request = new Request.Builder().url(url).method(method, body);
+        headers.forEach(request::header);
+        try (Response response = CLIENT.newCall(request.build()).execute()) {
+            return new Reply(
+                    response.code(),
+                    response.header("Sardineshunt-Verdict", ""),
+                    response.header("Sardineshunt-Reason", ""),
+                    response.header("Sardineshunt-Ticket"),
+                    response.body().string());
+        } catch (IOException unanswered) {
+            throw new UncheckedIOException(unanswered);
+        }
+    }
+
+    /** Sends requests of all kinds for some time and returns the checked results. */
+    static LoadReport load(LocalFleet fleet, long millis, long seed, Runnable meanwhile) {
+        LoadPlan plan =
+                LoadPlan.draw(List.of(BOOKING, STATUS), List.of(new LoadPlan.Phase("run", 0, millis, Map.of())), seed);
+        Thread failures = new Thread(meanwhile, "failures");
+        try (LoadClient client = new LoadClient(fleet.callerUrls(), 0)) {
+            failures.start();
+            List<RequestResult> results = new LoadRunner(client, "w" + seed, count -> {}).run(plan);
+            failures.join();
+            return LoadReport.of(results, fleet.runs());
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(interrupted);
+        }
+    }
+
+    /**
+     * An answer.
+     *
+     * @param status HTTP status
+     * @param verdict whether the request may have run
+     * @param reason why it was not served
+     * @param ticket ticket to repeat with, or null
+     * @param body whole body
+     */
+    record Reply(int status, String verdict, String reason, String ticket, String body) {}
+}
--- a/node/src/main/java/org/sardineshunt/node/backendserver/GroupHealth.java
+++ b/node/src/main/java/org/sardineshunt/node/backendserver/GroupHealth.java
@@ -77,8 +77,8 @@
         }
         Envelope message = Envelope.newBuilder().setHealthReport(report).build();
         peers.call(member, message, CALL_TIMEOUT_MILLIS)
-                .thenAccept(
-                        reply -> reply.getHealthBaseline().getBaselinesList().forEach(onBaseline));
+                .thenAccept(result -> result.forEach(
+                        reply -> reply.getHealthBaseline().getBaselinesList().forEach(onBaseline)));
     }
 
     private String collector(String service) {
--- a/node/src/main/java/org/sardineshunt/node/caller/Dispatcher.java
+++ b/node/src/main/java/org/sardineshunt/node/caller/Dispatcher.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
+import io.vavr.control.Either;
 import org.jboss.logging.Logger;
 import org.jboss.logging.MDC;
 import org.sardineshunt.coordination.Reason;
@@ -113,21 +114,26 @@
                 .setContent(flow.content.toBuilder().setDeadlineLeftMillis(left))
                 .build();
         choice.sent(nodeId);
-        CompletableFuture<Answer> answer = nodeId.equals(peers.selfId())
-                ? ownHome.attempt(attempt)
+        CompletableFuture<Either<LinkFailure, Answer>> call = nodeId.equals(peers.selfId())
+                ? ownHome.attempt(attempt).thenApply(Either::<LinkFailure, Answer>right)
                 : peers.call(
                                 chosen.home(),
                                 Envelope.newBuilder().setAttempt(attempt).build(),
                                 left + REPLY_MARGIN_MILLIS)
-                        .thenApply(Envelope::getAnswer);
-        answer.whenComplete((reply, failure) -> {
-            choice.ended(nodeId);
-            if (failure == null) {
-                answered(flow, chosen, attemptId, reply);
-            } else {
-                linkFailed(flow, chosen, attemptId, (LinkFailure) failure);
-            }
-        });
+                        .thenApply(result -> result.map(Envelope::getAnswer));
+        call.thenAccept(result -> {
+                    choice.ended(nodeId);
+                    result.peek(answer -> answered(flow, chosen, attemptId, answer))
+                            .peekLeft(failure -> linkFailed(flow, chosen, attemptId, failure));
+                })
+                .exceptionally(fault -> endAfterFault(flow, fault));
+    }
+
+    // A fault of this program must not leave the caller without an answer.
+    private static Void endAfterFault(Flow flow, Throwable fault) {
+        LOG.errorf(fault, "dispatch of request %s failed", flow.content.getRequestId());
+        flow.end(Answers.failure(Verdict.MAY_HAVE_RUN, Reason.LINK_LOST, "internal fault"));
+        return null;
     }
 
     private void answered(Flow flow, HomeChoice.Choice chosen, String attemptId, Answer answer) {
@@ -216,9 +222,9 @@
                         .setRememberMillis(Math.max(0, left) + ABANDON_TIMEOUT_MILLIS * 10))
                 .build();
         return peers.callOnNewLink(chosen.home(), message, ABANDON_TIMEOUT_MILLIS)
-                .handle((reply, lost) -> lost != null
-                        ? CompletableFuture.completedFuture(unresolved)
-                        : resolution(flow, chosen, attemptId, failure, unresolved, reply.getAbandonReply()))
+                .thenApply(result -> result.fold(
+                        lost -> CompletableFuture.completedFuture(unresolved),
+                        reply -> resolution(flow, chosen, attemptId, failure, unresolved, reply.getAbandonReply())))
                 .thenCompose(result -> result);
     }
 
--- a/node/src/main/java/org/sardineshunt/node/caller/KeyService.java
+++ b/node/src/main/java/org/sardineshunt/node/caller/KeyService.java
@@ -127,8 +127,8 @@
                 .setEvictedThrough(handover.evictedThrough());
         handover.outcomes().forEach(outcome -> message.addEntries(entry(outcome)));
         return peers.call(successor, Envelope.newBuilder().setHandover(message).build(), HANDOVER_TIMEOUT_MILLIS)
-                .thenApply(reply -> reply.getConfirmation().getAccepted())
-                .exceptionally(failure -> false);
+                .thenApply(
+                        result -> result.exists(reply -> reply.getConfirmation().getAccepted()));
     }
 
     private static HandoverEntry entry(KeyLedger.Outcome<Answer> outcome) {
@@ -172,7 +172,7 @@
                         KeyedRequest.newBuilder().setTicket(ticket.text()).setContent(content))
                 .build();
         return peers.call(authority.get(), message, content.getDeadlineLeftMillis() + CALL_MARGIN_MILLIS)
-                .handle((reply, failure) -> failure == null ? reply.getAnswer() : unreachable((LinkFailure) failure));
+                .thenApply(result -> result.fold(KeyService::unreachable, Envelope::getAnswer));
     }
 
     private static Answer unreachable(LinkFailure failure) {
--- a/node/src/main/java/org/sardineshunt/node/peer/LinkFailure.java
+++ b/node/src/main/java/org/sardineshunt/node/peer/LinkFailure.java
@@ -1,5 +1,7 @@
 package org.sardineshunt.node.peer;
 
+import java.util.concurrent.CompletionException;
+
 /** A call over a peer link that got no reply. */
 public final class LinkFailure extends Exception {
     private static final long serialVersionUID = 1L;
@@ -13,6 +15,13 @@
         this.incarnation = incarnation;
     }
 
+    /** Returns the link failure behind a failed call; any other failure counts as a lost reply. */
+    static LinkFailure of(Throwable failure) {
+        Throwable cause =
+                failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+        return cause instanceof LinkFailure known ? known : new LinkFailure(Kind.LOST, 0, String.valueOf(cause));
+    }
+
     /** Returns how far the call came. */
     public Kind kind() {
         return kind;
--- a/node/src/main/java/org/sardineshunt/node/peer/PeerCalls.java
+++ b/node/src/main/java/org/sardineshunt/node/peer/PeerCalls.java
@@ -2,12 +2,13 @@
 
 import java.util.concurrent.CompletableFuture;
 
+import io.vavr.control.Either;
 import org.sardineshunt.coordination.membership.Member;
 import org.sardineshunt.coordination.membership.MemberTable;
 import org.sardineshunt.node.ControlThread;
 import org.sardineshunt.protocol.PeerMessages.Envelope;
 
-/** Calls to other members whose results come on the control thread. */
+/** Calls to other members whose results come on the control thread; the futures never fail. */
 public final class PeerCalls {
     private final ControlThread control;
     private final PeerLinks links;
@@ -35,31 +36,26 @@
         return membership.self();
     }
 
-    /** Calls a member over the shared link; fails with a {@link LinkFailure}. */
-    public CompletableFuture<Envelope> call(Member member, Envelope message, long timeoutMillis) {
+    /** Calls a member over the shared link. */
+    public CompletableFuture<Either<LinkFailure, Envelope>> call(Member member, Envelope message, long timeoutMillis) {
         return onControl(links.call(member.nodeId(), member.endpoint(), message, timeoutMillis));
     }
 
-    /** Calls a member over a new connection; fails with a {@link LinkFailure}. */
-    public CompletableFuture<Envelope> callOnNewLink(Member member, Envelope message, long timeoutMillis) {
+    /** Calls a member over a new connection. */
+    public CompletableFuture<Either<LinkFailure, Envelope>> callOnNewLink(
+            Member member, Envelope message, long timeoutMillis) {
         return onControl(links.callOnNewLink(member.nodeId(), member.endpoint(), message, timeoutMillis));
     }
 
-    private CompletableFuture<Envelope> onControl(CompletableFuture<PeerLink.Reply> call) {
-        CompletableFuture<Envelope> result = new CompletableFuture<>();
+    private CompletableFuture<Either<LinkFailure, Envelope>> onControl(CompletableFuture<PeerLink.Reply> call) {
+        CompletableFuture<Either<LinkFailure, Envelope>> result = new CompletableFuture<>();
         call.whenComplete((reply, failure) -> control.execute(() -> {
             if (failure == null) {
-                result.complete(reply.envelope());
+                result.complete(Either.right(reply.envelope()));
             } else {
-                result.completeExceptionally(unwrap(failure));
+                result.complete(Either.left(LinkFailure.of(failure)));
             }
         }));
         return result;
     }
-
-    private static Throwable unwrap(Throwable failure) {
-        return failure instanceof java.util.concurrent.CompletionException && failure.getCause() != null
-                ? failure.getCause()
-                : failure;
-    }
 }
--- a/stand-in/src/main/java/org/sardineshunt/standin/BackendServerStandIn.java
+++ b/stand-in/src/main/java/org/sardineshunt/standin/BackendServerStandIn.java
@@ -42,6 +42,7 @@
     private final Runnable onCrash;
     private final Random random;
     private final ScheduledExecutorService timer;
+    private final ScheduledExecutorService announcer;
     private final OkHttpClient client = new OkHttpClient.Builder()
             .callTimeout(java.time.Duration.ofSeconds(2))
             .build();
@@ -59,11 +60,8 @@
         this.options = options;
         this.onCrash = onCrash;
         this.random = new Random(options.seed());
-        this.timer = Executors.newSingleThreadScheduledExecutor(task -> {
-            Thread thread = new Thread(task, "backend-server-" + options.id());
-            thread.setDaemon(true);
-            return thread;
-        });
+        this.timer = daemonTimer("service-time-" + options.id());
+        this.announcer = daemonTimer("announcer-" + options.id());
         HttpEndpoint.Builder builder = HttpEndpoint.builder()
                 .port(options.port())
                 .route("GET", "/control/health", call -> done(health()))
@@ -72,7 +70,7 @@
                 .route("POST", "/control/drain", call -> done(startLeaving()));
         List.of("GET", "HEAD", "POST", "PUT", "DELETE").forEach(method -> builder.route(method, "/*", this::work));
         endpoint = builder.start();
-        timer.scheduleWithFixedDelay(this::announce, 0, options.announceMillis(), TimeUnit.MILLISECONDS);
+        announcer.scheduleWithFixedDelay(this::announce, 0, options.announceMillis(), TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -129,11 +127,20 @@
     @Override
     public void close() {
         timer.shutdownNow();
+        announcer.shutdownNow();
         endpoint.close();
         client.dispatcher().executorService().shutdown();
         client.connectionPool().evictAll();
     }
 
+    private static ScheduledExecutorService daemonTimer(String name) {
+        return Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        });
+    }
+
     private CompletionStage<HttpReply> work(HttpCall call) {
         lastWorkNanos = System.nanoTime();
         received.incrementAndGet();
