--- /dev/null
+++ b/coordination/src/test/java/org/sardineshunt/coordination/health/UpstreamHealthTest.java
@@ -0,0 +1,130 @@
+package org.sardineshunt.coordination.health;
+
+import java.util.Random;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+import org.sardineshunt.coordination.health.UpstreamHealth.Outcome;
+import org.sardineshunt.coordination.rotation.Condition;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+class UpstreamHealthTest {
+    private static final long SEED = 7;
+    private static final double USUAL_MILLIS = 40;
+    private static final Baseline USUAL = new Baseline(0.002, USUAL_MILLIS, 10);
+
+    private final Random random = new Random(SEED);
+    private final UpstreamHealth health =
+            new UpstreamHealth(HealthPolicy.builder().build());
+
+    @Test
+    void thirtyPercentErrorsAreFoundWithinThreeSecondsOfTwentyRequestsEach() {
+        health.baseline(USUAL);
+
+        assertThat(millisToEjection(20, 0.3, 1), lessThanOrEqualTo(3_000L));
+    }
+
+    @Test
+    void tenfoldLatencyIsFoundWithinThreeSecondsOfTwentyRequestsEach() {
+        health.baseline(USUAL);
+
+        assertThat(millisToEjection(20, 0, 10), lessThanOrEqualTo(3_000L));
+    }
+
+    @Test
+    void anHourOfHealthyTrafficWithNoiseEjectsNone() {
+        long ejections = IntStream.range(0, 40)
+                .filter(upstream -> {
+                    UpstreamHealth own =
+                            new UpstreamHealth(HealthPolicy.builder().build());
+                    own.baseline(USUAL);
+                    return IntStream.range(0, 3_600 * 50).anyMatch(request -> {
+                        Outcome outcome = random.nextDouble() < 0.005 ? Outcome.FAILURE : Outcome.SUCCESS;
+                        own.record(request * 20L, outcome, USUAL_MILLIS * noise());
+                        return own.condition(request * 20L) != Condition.HEALTHY;
+                    });
+                })
+                .count();
+
+        assertThat(ejections, is(0L));
+    }
+
+    @Test
+    void hungRequestsAreFoundBeforeTheyEnd() {
+        health.baseline(USUAL);
+
+        IntStream.range(0, 6).forEach(request -> health.recordOverdue(1_000));
+
+        assertThat(health.condition(1_000), is(Condition.UNHEALTHY));
+    }
+
+    @Test
+    void failuresThatTheWholeGroupSharesDoNotEject() {
+        health.baseline(new Baseline(0.5, USUAL_MILLIS, 10));
+
+        IntStream.range(0, 400)
+                .forEach(request -> health.record(
+                        request * 20L, request % 2 == 0 ? Outcome.FAILURE : Outcome.SUCCESS, USUAL_MILLIS));
+
+        assertThat(health.condition(8_000), is(Condition.HEALTHY));
+    }
+
+    @Test
+    void aFlapperReturnsAtMostTwiceAMinute() {
+        health.baseline(USUAL);
+        long returns = 0;
+        long worstMinute = 0;
+        Condition before = Condition.HEALTHY;
+        long[] returnedAt = new long[1_000];
+        for (long now = 0; now < 600_000; now += 20) {
+            boolean bad = now / 2_000 % 2 == 0;
+            Condition condition = health.condition(now);
+            if (condition != Condition.UNHEALTHY) {
+                health.record(now, bad ? Outcome.FAILURE : Outcome.SUCCESS, USUAL_MILLIS);
+            }
+            if (before == Condition.TRIAL && health.condition(now) == Condition.HEALTHY) {
+                returnedAt[(int) returns++] = now;
+                long from = now - 60_000;
+                worstMinute = Math.max(
+                        worstMinute,
+                        IntStream.range(0, (int) returns)
+                                .filter(number -> returnedAt[number] > from)
+                                .count());
+            }
+            before = health.condition(now);
+        }
+
+        assertThat(worstMinute, lessThanOrEqualTo(2L));
+    }
+
+    @Test
+    void trialEndsAfterEnoughSuccesses() {
+        health.baseline(USUAL);
+        IntStream.range(0, 20).forEach(request -> health.record(0, Outcome.FAILURE, USUAL_MILLIS));
+        assertThat(health.condition(0), is(Condition.UNHEALTHY));
+        assertThat(health.condition(5_000), is(Condition.TRIAL));
+
+        IntStream.range(0, 10).forEach(request -> health.record(5_000, Outcome.SUCCESS, USUAL_MILLIS));
+
+        assertThat(health.condition(5_000), is(Condition.HEALTHY));
+    }
+
+    private long millisToEjection(int requestsPerSecond, double errorShare, double latencyFactor) {
+        for (int request = 0; request < 100 * requestsPerSecond; request++) {
+            long now = request * 1_000L / requestsPerSecond;
+            Outcome outcome = random.nextDouble() < errorShare ? Outcome.FAILURE : Outcome.SUCCESS;
+            health.record(now, outcome, USUAL_MILLIS * noise() * latencyFactor);
+            if (health.condition(now) == Condition.UNHEALTHY) {
+                return now;
+            }
+        }
+        return Long.MAX_VALUE;
+    }
+
+    private double noise() {
+        return Math.exp(random.nextGaussian() * 0.35);
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/sardineshunt/coordination/limit/AccountLimiterTest.java
@@ -0,0 +1,39 @@
+package org.sardineshunt.coordination.limit;
+
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class AccountLimiterTest {
+    private final AccountLimiter limiter = new AccountLimiter(10, 5, 2);
+
+    @Test
+    void allowsTheBurstAndThenTheRate() {
+        assertThat(allowed(0, "a", 10), is(5L));
+        assertThat(allowed(1_000, "a", 20), is(5L));
+        assertThat(allowed(1_100, "a", 20), is(1L));
+    }
+
+    @Test
+    void accountsDoNotShareTokens() {
+        allowed(0, "a", 10);
+
+        assertThat(allowed(0, "b", 10), is(5L));
+    }
+
+    @Test
+    void keepsOnlyTheAccountsUsedLast() {
+        IntStream.range(0, 100).forEach(number -> limiter.tryAcquire(0, "account-" + number));
+
+        assertThat(limiter.size(), is(2));
+    }
+
+    private long allowed(long nowMillis, String account, int requests) {
+        return IntStream.range(0, requests)
+                .filter(number -> limiter.tryAcquire(nowMillis, account))
+                .count();
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/sardineshunt/coordination/limit/HomeGateTest.java
@@ -0,0 +1,144 @@
+package org.sardineshunt.coordination.limit;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.vavr.control.Either;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.sardineshunt.coordination.Rank;
+import org.sardineshunt.coordination.Reason;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+class HomeGateTest {
+    private static final List<Rank> RANKS =
+            List.of(new Rank("payment", 0, 0.1), new Rank("booking", 1, 0.1), new Rank("browse", 2, 0.05));
+    private static final double SERVICE_MILLIS = 10;
+
+    private final HomeGate<String> gate = HomeGate.<String>builder()
+            .ranks(RANKS)
+            .slots(1)
+            .expectedServiceMillis(SERVICE_MILLIS)
+            .queueLimit(10_000)
+            .build();
+    private int lastId;
+
+    @Test
+    void urgentWorkIsStartedFirst() {
+        gate.offer(0, work("browse", 10_000));
+        gate.offer(0, work("browse", 10_000));
+        gate.offer(0, work("payment", 10_000));
+
+        assertThat(ranksOf(gate.finish(10, SERVICE_MILLIS)), contains("payment"));
+        assertThat(ranksOf(gate.finish(20, SERVICE_MILLIS)), contains("browse"));
+    }
+
+    @Test
+    void floodOfTheMostUrgentLeavesEachRankItsGuaranteedShare() {
+        Map<String, Integer> started = startsUnderFlood("payment");
+
+        assertThat(started.get("booking"), greaterThanOrEqualTo(95));
+        assertThat(started.get("browse"), greaterThanOrEqualTo(45));
+    }
+
+    @Test
+    void floodOfTheLeastUrgentCostsUrgentWorkNothing() {
+        for (int flood = 0; flood < 200; flood++) {
+            gate.offer(0, work("browse", 100_000));
+        }
+        gate.offer(0, work("payment", 100_000));
+
+        assertThat(ranksOf(gate.finish(10, SERVICE_MILLIS)), contains("payment"));
+    }
+
+    @Test
+    void workThatWouldMissItsDeadlineIsRefusedBeforeTheWait() {
+        gate.offer(0, work("browse", 1_000));
+        gate.offer(0, work("browse", 1_000));
+
+        assertThat(gate.offer(0, work("browse", 25)), is(Either.left(Reason.DEADLINE_SLACK)));
+    }
+
+    @Test
+    void expiredWorkNeverStarts() {
+        gate.offer(0, work("browse", 1_000));
+        gate.offer(0, work("browse", 100));
+
+        assertThat(gate.finish(200, SERVICE_MILLIS).isEmpty(), is(true));
+        assertThat(gate.removeExpired(200).size(), is(1));
+    }
+
+    @Test
+    void lowerLimitStartsNothingNew() {
+        gate.offer(0, work("browse", 1_000));
+        gate.offer(0, work("browse", 1_000));
+
+        assertThat(gate.limit(0, 0).isEmpty(), is(true));
+        assertThat(gate.finish(10, SERVICE_MILLIS).isEmpty(), is(true));
+    }
+
+    @Test
+    void urgentOverridePutsARankFirst() {
+        gate.urgentRank("browse");
+        gate.offer(0, work("payment", 10_000));
+        gate.offer(0, work("payment", 10_000));
+        gate.offer(0, work("browse", 10_000));
+
+        assertThat(ranksOf(gate.finish(10, SERVICE_MILLIS)), contains("browse"));
+    }
+
+    @Property(seed = "20261204", tries = 300)
+    void slotsInUseNeverExceedTheLimitAndNothingIsLost(
+            @ForAll @Size(max = 120) List<@IntRange(min = 0, max = 5) Integer> steps) {
+        HomeGate<String> tested =
+                HomeGate.<String>builder().ranks(RANKS).slots(3).queueLimit(8).build();
+        int accepted = 0;
+        int started = 0;
+        int finished = 0;
+        long now = 0;
+        for (int step : steps) {
+            now += 7;
+            if (step < 3) {
+                Either<Reason, Boolean> offered =
+                        tested.offer(now, work(RANKS.get(step).name(), now + 100));
+                accepted += offered.isRight() ? 1 : 0;
+                started += offered.getOrElse(false) ? 1 : 0;
+            } else if (started > finished) {
+                finished++;
+                started += tested.finish(now, SERVICE_MILLIS).size();
+            }
+            accepted -= tested.removeExpired(now).size();
+            assertThat(tested.inFlight(), lessThanOrEqualTo(3));
+            assertThat(tested.inFlight(), is(started - finished));
+            assertThat(tested.queued(), is(accepted - started));
+        }
+    }
+
+    private Map<String, Integer> startsUnderFlood(String flooding) {
+        Map<String, Integer> started = new HashMap<>();
+        gate.offer(0, work(flooding, 1_000_000));
+        for (int start = 0; start < 1_000; start++) {
+            RANKS.forEach(rank -> gate.offer(0, work(rank.name(), 1_000_000)));
+            ranksOf(gate.finish(start * 10L, SERVICE_MILLIS)).forEach(rank -> started.merge(rank, 1, Integer::sum));
+        }
+        return started;
+    }
+
+    private Work<String> work(String rank, long deadline) {
+        return new Work<>("w" + lastId++, rank, deadline, "payload");
+    }
+
+    private static List<String> ranksOf(List<Work<String>> works) {
+        return new ArrayList<>(works.stream().map(Work::rank).toList());
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/sardineshunt/coordination/once/AttemptLedgerTest.java
@@ -0,0 +1,91 @@
+package org.sardineshunt.coordination.once;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.sardineshunt.coordination.once.AttemptLedger.Arrival;
+import org.sardineshunt.coordination.once.AttemptLedger.State;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class AttemptLedgerTest {
+    private final AttemptLedger<String> ledger = new AttemptLedger<>(1_000);
+
+    @Test
+    void abandonedAttemptThatArrivesLaterNeverStarts() {
+        assertThat(ledger.abandon(0, "a", 500).state(), is(State.ABANDONED));
+
+        assertThat(ledger.arrive("a"), is(Arrival.ABANDONED));
+        assertThat(ledger.start("a"), is(false));
+    }
+
+    @Test
+    void waitingAttemptThatIsAbandonedNeverStarts() {
+        ledger.arrive("a");
+        ledger.abandon(0, "a", 500);
+
+        assertThat(ledger.start("a"), is(false));
+    }
+
+    @Test
+    void runningAttemptCannotBeAbandoned() {
+        ledger.arrive("a");
+        ledger.start("a");
+
+        assertThat(ledger.abandon(0, "a", 500).state(), is(State.RUNNING));
+    }
+
+    @Test
+    void finishedAttemptReturnsItsAnswer() {
+        ledger.arrive("a");
+        ledger.start("a");
+        ledger.finish(0, "a", "answer");
+
+        assertThat(ledger.abandon(10, "a", 500).answer(), is("answer"));
+    }
+
+    @Test
+    void secondCopyOfAnAttemptIsADuplicate() {
+        ledger.arrive("a");
+
+        assertThat(ledger.arrive("a"), is(Arrival.DUPLICATE));
+    }
+
+    @Property(seed = "20261204", tries = 500)
+    void noAttemptStartsAfterItWasReportedAsNotRun(
+            @ForAll @Size(max = 60) List<@IntRange(min = 0, max = 59) Integer> steps) {
+        AttemptLedger<String> tested = new AttemptLedger<>(1_000_000);
+        Set<String> reportedNotRun = new HashSet<>();
+        Set<String> started = new HashSet<>();
+        for (int step : steps) {
+            String id = "a" + step % 5;
+            switch (step / 15) {
+                case 0 -> tested.arrive(id);
+                case 1 -> {
+                    if (tested.start(id)) {
+                        assertThat(id + " starts once", started.add(id), is(true));
+                        assertThat(id + " was not reported", reportedNotRun.contains(id), is(false));
+                    }
+                }
+                case 2 -> {
+                    if (tested.abandon(0, id, 1_000_000).state() == State.ABANDONED) {
+                        assertThat(id + " did not start", started.contains(id), is(false));
+                        reportedNotRun.add(id);
+                    }
+                }
+                default -> {
+                    if (started.contains(id)) {
+                        tested.finish(0, id, "answer");
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/sardineshunt/coordination/rotation/RotationTest.java
@@ -0,0 +1,132 @@
+package org.sardineshunt.coordination.rotation;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.DoubleRange;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+
+class RotationTest {
+    private static final long SEED = 20261204;
+
+    @Property(seed = "20261204")
+    void capacityInUseIsNeverBelowTheFloor(
+            @ForAll("candidates") List<Candidate> candidates, @ForAll @DoubleRange(min = 0, max = 1) double share) {
+        Rotation rotation = Rotation.builder().floorShare(share).build();
+
+        int inUse = slots(candidates, rotation.place(candidates));
+
+        assertThat(inUse, greaterThanOrEqualTo(rotation.floorSlots(candidates)));
+    }
+
+    @Property(seed = "20261204")
+    void leavingAndUnreachableUpstreamsReceiveNothing(@ForAll("candidates") List<Candidate> candidates) {
+        Map<String, Placement> placements = Rotation.builder().build().place(candidates);
+
+        candidates.stream()
+                .filter(candidate -> candidate.leaving() || !candidate.reachable())
+                .forEach(candidate -> assertThat(placements.get(candidate.id()).use(), is(Placement.Use.NONE)));
+    }
+
+    @Property(seed = "20261204")
+    void resultDoesNotDependOnTheOrderOfCandidates(@ForAll("candidates") List<Candidate> candidates) {
+        List<Candidate> shuffled = new ArrayList<>(candidates);
+        Collections.shuffle(shuffled, new Random(SEED));
+        Rotation rotation = Rotation.builder().build();
+
+        assertThat(rotation.place(shuffled), equalTo(rotation.place(candidates)));
+    }
+
+    @Property(seed = "20261204")
+    void keptUpstreamsStayInWhateverTheirHealth(@ForAll("candidates") List<Candidate> candidates) {
+        Map<String, Placement> placements = Rotation.builder().build().place(candidates);
+
+        candidates.stream()
+                .filter(candidate -> candidate.override() == Candidate.Override.KEEP_IN)
+                .filter(candidate -> !candidate.leaving() && candidate.reachable())
+                .forEach(candidate -> assertThat(placements.get(candidate.id()).use(), is(Placement.Use.FULL)));
+    }
+
+    @Test
+    void drainThatWouldBreakTheFloorIsHeldBack() {
+        List<Candidate> candidates = IntStream.range(0, 4)
+                .mapToObj(number -> candidate("u" + number, Condition.HEALTHY, Candidate.Override.DRAIN))
+                .toList();
+
+        Map<String, Placement> placements =
+                Rotation.builder().floorShare(0.5).build().place(candidates);
+
+        assertThat(placements.get("u0").cause(), is(Placement.Cause.DRAIN_HELD_BY_FLOOR));
+        assertThat(placements.get("u1").cause(), is(Placement.Cause.DRAIN_HELD_BY_FLOOR));
+        assertThat(placements.get("u2").cause(), is(Placement.Cause.DRAINED));
+    }
+
+    @Test
+    void leastBadUnhealthyUpstreamComesBackBeforeADrainedOne() {
+        List<Candidate> candidates = List.of(
+                candidate("drained", Condition.HEALTHY, Candidate.Override.DRAIN),
+                candidate("unhealthy", Condition.UNHEALTHY, Candidate.Override.NONE));
+
+        Map<String, Placement> placements =
+                Rotation.builder().floorShare(0.5).build().place(candidates);
+
+        assertThat(placements.get("unhealthy").cause(), is(Placement.Cause.HELD_BY_FLOOR));
+        assertThat(placements.get("drained").use(), is(Placement.Use.NONE));
+    }
+
+    @Provide
+    Arbitrary<List<Candidate>> candidates() {
+        Arbitrary<Candidate> candidate = Combinators.combine(
+                        Arbitraries.integers().between(0, 8),
+                        Arbitraries.of(Condition.class),
+                        Arbitraries.integers().between(0, 8),
+                        Arbitraries.of(Candidate.Override.class),
+                        Arbitraries.of(true, false, false, false),
+                        Arbitraries.of(true, true, true, false))
+                .as((slots, condition, severity, override, leaving, reachable) ->
+                        new Candidate("x", slots, condition, severity, override, leaving, reachable));
+        return candidate.list().ofMaxSize(12).map(RotationTest::named);
+    }
+
+    private static List<Candidate> named(List<Candidate> unnamed) {
+        return IntStream.range(0, unnamed.size())
+                .mapToObj(number -> {
+                    Candidate candidate = unnamed.get(number);
+                    return new Candidate(
+                            "u" + number,
+                            candidate.slots(),
+                            candidate.condition(),
+                            candidate.severity(),
+                            candidate.override(),
+                            candidate.leaving(),
+                            candidate.reachable());
+                })
+                .toList();
+    }
+
+    private static Candidate candidate(String id, Condition condition, Candidate.Override override) {
+        return new Candidate(id, 4, condition, 1, override, false, true);
+    }
+
+    private static int slots(List<Candidate> candidates, Map<String, Placement> placements) {
+        return candidates.stream()
+                .filter(candidate -> placements.get(candidate.id()).use() == Placement.Use.FULL)
+                .mapToInt(Candidate::slots)
+                .sum();
+    }
+}
--- /dev/null
+++ b/load/src/test/java/org/sardineshunt/load/EjectionTest.java
@@ -0,0 +1,116 @@
+package org.sardineshunt.load;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.StreamSupport;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sardineshunt.standin.ServerFaults;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+class EjectionTest {
+    private static final long DETECTION_MILLIS = 3_000;
+    private static final String GRAY = "seat-booking-2";
+
+    private LocalFleet fleet;
+    private FleetProbe probe;
+
+    @BeforeEach
+    void startFleet() {
+        fleet = SmallFleet.start(6, 40);
+        probe = new FleetProbe(fleet);
+    }
+
+    @AfterEach
+    void stopFleet() {
+        fleet.close();
+    }
+
+    @Test
+    void upstreamWithThirtyPercentErrorsIsOutInTime() {
+        assertThat(millisUntilOut(ServerFaults.errors(0.3)), lessThanOrEqualTo(DETECTION_MILLIS));
+    }
+
+    @Test
+    void upstreamWithTenfoldLatencyIsOutInTime() {
+        assertThat(millisUntilOut(ServerFaults.slow(10)), lessThanOrEqualTo(DETECTION_MILLIS));
+    }
+
+    @Test
+    void hungUpstreamIsOutInTime() {
+        assertThat(millisUntilOut(new ServerFaults(0, 1, true, 0, "", true)), lessThanOrEqualTo(DETECTION_MILLIS));
+    }
+
+    @Test
+    void floorHoldsWhileHalfOfTheUpstreamsAreGray() {
+        AtomicLong lowest = new AtomicLong(Long.MAX_VALUE);
+        SmallFleet.load(fleet, 7_000, 31, () -> {
+            FleetProbe.pause(1_500);
+            List.of("seat-booking-1", "seat-booking-2", "seat-booking-3", "seat-booking-4")
+                    .forEach(id -> fleet.server(id).faults(ServerFaults.errors(0.5)));
+            for (int sample = 0; sample < 50; sample++) {
+                JsonNode service = probe.get("dc-1-n1", "/operator/services").path(0);
+                lowest.accumulateAndGet(
+                        service.path("slotsInUse").asLong()
+                                - service.path("floorSlots").asLong(),
+                        Math::min);
+                FleetProbe.pause(80);
+            }
+        });
+
+        assertThat(lowest.get(), greaterThanOrEqualTo(0L));
+    }
+
+    @Test
+    void healthyUpstreamsStayInWhateverTheirHealthEndpointsSay() {
+        fleet.upstreams("seat-booking")
+                .forEach(id -> fleet.server(id).faults(new ServerFaults(0, 1, false, 0, "", false)));
+
+        SmallFleet.load(fleet, 8_000, 32, () -> {});
+
+        assertThat(ejected(), is(empty()));
+    }
+
+    @Test
+    void recoveredUpstreamComesBackThroughLookups() {
+        SmallFleet.load(fleet, 16_000, 33, () -> {
+            FleetProbe.pause(1_500);
+            fleet.server(GRAY).faults(ServerFaults.errors(0.6));
+            probe.await("out", () -> !probe.inRotation("dc-1-n1").contains(GRAY));
+            fleet.server(GRAY).faults(ServerFaults.NONE);
+            probe.await("back", () -> probe.inRotation("dc-1-n1").contains(GRAY));
+        });
+
+        assertThat(probe.inRotation("dc-1-n1").contains(GRAY), is(true));
+    }
+
+    private long millisUntilOut(ServerFaults faults) {
+        AtomicLong millis = new AtomicLong(Long.MAX_VALUE);
+        SmallFleet.load(fleet, 7_000, 30, () -> {
+            FleetProbe.pause(2_500);
+            fleet.server(GRAY).faults(faults);
+            millis.set(probe.await(
+                    "out of rotation", () -> !probe.inRotation("dc-1-n1").contains(GRAY)));
+        });
+        return millis.get();
+    }
+
+    private List<String> ejected() {
+        return StreamSupport.stream(
+                        probe.get("dc-1-n1", "/operator/services/seat-booking")
+                                .path("upstreams")
+                                .spliterator(),
+                        false)
+                .filter(upstream -> !upstream.path("use").asText().equals("full"))
+                .map(upstream -> upstream.path("upstream").asText())
+                .toList();
+    }
+}
