Stop without cutting off requests, and isolate requests that crash servers

Planned stop. Cause: requests whose connection was set up while the HTTP server closed were dropped unanswered; the trace shows one that arrived 20 ms before the stop ended and after the last refusal. Jooby stops its acceptor and its loops together and hands out neither. Ruled out: the order of control thread and endpoint (swapped, still 1 of 1 each time) and stale pooled connections. The caller entry is now on Netty's HTTP codec: the listener closes first, connections close one by one when quiet. Bodies of any media type now pass byte by byte too.

Crashing requests. Causes, each found by CrashingRequestTest: news of a crash travelled with the next probe (3 victims); an innocent request and the guilty one met again at the second victim; stale connections to a crashed server counted as further crashes. News now spreads at once and the answer waits 200 ms for it, an upstream runs one suspect at a time, and a crashed upstream gets no work until it announces itself again.

--- a/coordination/src/main/java/org/sardineshunt/coordination/Reason.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/Reason.java
@@ -25,6 +25,7 @@
     ABANDONED("abandoned", 503),
     DUPLICATE_ATTEMPT("duplicate-attempt", 503),
     CRASHING_REQUEST("crashing-request", 503),
+    SUSPECT_ISOLATION("suspect-isolation", 503),
     RETRY_BUDGET("retry-budget", 503),
     NODE_UNREACHABLE("node-unreachable", 503),
     LINK_LOST("link-lost", 502),
--- a/coordination/src/main/java/org/sardineshunt/coordination/once/CrashGuard.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/once/CrashGuard.java
@@ -37,6 +37,12 @@
                 && suspect.victims().size() >= victimLimit;
     }
 
+    /** Returns whether an upstream crashed while it ran a request that has not been answered since. */
+    public boolean suspects(long nowMillis, String fingerprint) {
+        Suspect suspect = suspects.get(fingerprint);
+        return suspect != null && suspect.lastMillis() + memoryMillis > nowMillis;
+    }
+
     /** Records that an upstream crashed while it ran the request; returns whether that was news. */
     public boolean recordCrash(long nowMillis, String fingerprint, String upstreamId) {
         Suspect suspect = suspects.getOrDefault(fingerprint, new Suspect(Set.of(), nowMillis));
--- a/node/src/main/java/org/sardineshunt/node/Node.java
+++ b/node/src/main/java/org/sardineshunt/node/Node.java
@@ -19,6 +19,7 @@
 import org.sardineshunt.kit.HttpReply;
 import org.sardineshunt.node.backendserver.BackendServerClient;
 import org.sardineshunt.node.backendserver.HomeService;
+import org.sardineshunt.node.caller.CallerEndpoint;
 import org.sardineshunt.node.caller.CallerService;
 import org.sardineshunt.node.operator.OperatorService;
 import org.sardineshunt.node.peer.CrashRegister;
@@ -55,18 +56,21 @@
     private static final long LONGEST_GAP_MILLIS = 1_500;
     private static final long STOP_POLL_MILLIS = 20;
     private static final int SPREAD_AT_STOP = 6;
+    private static final int SPREAD_OF_CRASHES = 3;
 
     private final NodeSettings settings;
     private final ControlThread control;
     private final EventLoopGroup eventLoops =
             new MultiThreadIoEventLoopGroup(PEER_EVENT_LOOPS, NioIoHandler.newFactory());
+    private final EventLoopGroup callerLoops =
+            new MultiThreadIoEventLoopGroup(CALLER_EVENT_LOOPS, NioIoHandler.newFactory());
     private final NodeMetrics metrics = new NodeMetrics();
     private final PlatformClient platform;
     private final BackendServerClient backendServers;
     private final PeerLinks links;
     private final PeerServer peerServer;
     private final HttpEndpoint operatorEndpoint;
-    private final HttpEndpoint callerEndpoint;
+    private final CallerEndpoint callerEndpoint;
     private final MembershipService membership;
     private final ConfigurationService configuration;
     private final HomeService home;
@@ -108,6 +112,7 @@
                 new MembershipService(control, links, settings.timing(), self(incarnation, peerPort), random, gossip);
         gossip.onBehind(nodeId ->
                 membership.table().find(nodeId).ifPresent(member -> membership.syncWith(nodeId, member.endpoint())));
+        crashes.onNews(() -> membership.spreadNow(SPREAD_OF_CRASHES));
         RotationView rotations = new RotationView(membership.table(), configuration, settings.floorShare(), control);
         membership.onChange(rotations::invalidate);
         configuration.onChange(rotations::invalidate);
@@ -185,7 +190,7 @@
                 .orTimeout(settings.timing().linkSilence().millis() * 2, TimeUnit.MILLISECONDS)
                 .exceptionally(failure -> null)
                 .join();
-        sleep(settings.timing().probeTimeout().millis());
+        callerEndpoint.closeGracefully();
         kill();
         return complete;
     }
@@ -201,6 +206,7 @@
         backendServers.close();
         platform.close();
         eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        callerLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
     private HttpEndpoint operatorEndpoint(AtomicReference<HttpHandler> handler) {
@@ -214,16 +220,13 @@
         return builder.start();
     }
 
-    private HttpEndpoint callerEndpoint() {
-        HttpEndpoint.Builder builder = HttpEndpoint.builder()
-                .host(settings.ports().host())
-                .port(settings.ports().caller())
-                .eventLoops(CALLER_EVENT_LOOPS)
-                .maxBodyBytes(settings.limits().body().bytes())
-                .route("POST", "/sardineshunt/tickets", call -> callers.issueTicket());
-        List.of("GET", "HEAD", "POST", "PUT", "DELETE", "PATCH")
-                .forEach(method -> builder.route(method, "/*", callers::handle));
-        return builder.start();
+    private CallerEndpoint callerEndpoint() {
+        return CallerEndpoint.listen(
+                callerLoops,
+                settings.ports().host(),
+                settings.ports().caller(),
+                settings.limits().body().bytes(),
+                callers::handle);
     }
 
     private Member self(long incarnation, int peerPort) {
--- a/node/src/main/java/org/sardineshunt/node/backendserver/HomeService.java
+++ b/node/src/main/java/org/sardineshunt/node/backendserver/HomeService.java
@@ -129,10 +129,11 @@
         if (stopping) {
             return refuseForGood(attempt, Reason.SHUTTING_DOWN);
         }
-        Optional<HomeUpstream> chosen = choose(attempt);
+        boolean suspect = attempt.getSuspect() || crashes.suspects(content.getFingerprint());
+        Optional<HomeUpstream> chosen = choose(attempt, suspect);
         return chosen.isPresent()
-                ? enqueue(attempt, chosen.get())
-                : refuseForGood(attempt, whyNone(content.getService()));
+                ? enqueue(attempt, chosen.get(), suspect)
+                : refuseForGood(attempt, suspect ? Reason.SUSPECT_ISOLATION : whyNone(content.getService()));
     }
 
     /** Answers what became of an attempt, and lets it never start if it hasn't. */
@@ -179,13 +180,15 @@
         return inFlight;
     }
 
-    private Optional<HomeUpstream> choose(Attempt attempt) {
+    // An upstream holds one suspect at a time: if it crashes, no other request gets its second victim by chance.
+    private Optional<HomeUpstream> choose(Attempt attempt, boolean suspect) {
         Map<String, Placement> placements =
                 rotations.of(attempt.getContent().getService()).placements();
         boolean trial = attempt.getTrial() && attempt.getContent().getIdempotent();
         Placement.Use wanted = trial ? Placement.Use.TRIAL : Placement.Use.FULL;
         return serving(attempt.getContent().getService())
                 .filter(upstream -> use(placements, upstream) == wanted)
+                .filter(upstream -> !suspect || !upstream.holdsSuspect())
                 .min(Comparator.comparingDouble(HomeUpstream::load));
     }
 
@@ -200,6 +203,7 @@
         return upstreams.values().stream()
                 .filter(upstream -> upstream.announcement().service().equals(service))
                 .filter(upstream -> upstream.announcement().ready())
+                .filter(upstream -> !upstream.paused())
                 .filter(upstream -> !upstream.leaseOver(now, lease));
     }
 
@@ -211,7 +215,7 @@
         return serving ? Reason.OUT_OF_ROTATION : leaving ? Reason.DRAINING : Reason.NO_UPSTREAM;
     }
 
-    private CompletableFuture<Answer> enqueue(Attempt attempt, HomeUpstream upstream) {
+    private CompletableFuture<Answer> enqueue(Attempt attempt, HomeUpstream upstream, boolean suspect) {
         long now = control.nowMillis();
         PendingAttempt pending = new PendingAttempt(attempt, new CompletableFuture<>());
         Work<PendingAttempt> work = new Work<>(
@@ -227,6 +231,10 @@
                     }
                 })
                 .peekLeft(reason -> complete(work, Verdict.NOT_RUN, reason));
+        if (suspect) {
+            upstream.holdSuspect(true);
+            pending.answer().thenRun(() -> upstream.holdSuspect(false));
+        }
         return pending.answer();
     }
 
@@ -250,6 +258,7 @@
         inFlight--;
         if (answer.getUpstreamCrashed()) {
             crashes.recordCrash(content.getFingerprint(), upstreamId);
+            upstream.pauseUntilAnnounced(now);
         } else if (Answers.verdict(answer) == Verdict.RAN) {
             crashes.recordAnswer(content.getFingerprint());
         }
--- a/node/src/main/java/org/sardineshunt/node/backendserver/HomeUpstream.java
+++ b/node/src/main/java/org/sardineshunt/node/backendserver/HomeUpstream.java
@@ -27,6 +27,8 @@
     private ColdStartRamp ramp;
     private long announcedAtMillis;
     private boolean wasReady;
+    private boolean holdsSuspect;
+    private boolean paused;
 
     HomeUpstream(Announcement announcement, List<Rank> ranks, int queueLimit, long rampMillis, HealthPolicy policy) {
         this.gate = HomeGate.<PendingAttempt>builder()
@@ -44,6 +46,7 @@
     List<Work<PendingAttempt>> announce(long nowMillis, Announcement newAnnouncement) {
         announcement = newAnnouncement;
         announcedAtMillis = nowMillis;
+        paused = false;
         if (announcement.ready() && !wasReady) {
             ramp = new ColdStartRamp(nowMillis, rampMillis);
         }
@@ -52,7 +55,7 @@
     }
 
     List<Work<PendingAttempt>> raiseLimit(long nowMillis) {
-        int limit = announcement.ready() ? ramp.limit(nowMillis, announcement.slots()) : 0;
+        int limit = announcement.ready() && !paused ? ramp.limit(nowMillis, announcement.slots()) : 0;
         return gate.limit(nowMillis, limit);
     }
 
@@ -72,6 +75,25 @@
         return nowMillis - announcedAtMillis > leaseMillis;
     }
 
+    /** Starts nothing until the upstream announces itself again, because it seems to have crashed. */
+    void pauseUntilAnnounced(long nowMillis) {
+        paused = true;
+        raiseLimit(nowMillis);
+    }
+
+    boolean paused() {
+        return paused;
+    }
+
+    /** Returns whether a request that may crash upstreams waits or runs here. */
+    boolean holdsSuspect() {
+        return holdsSuspect;
+    }
+
+    void holdSuspect(boolean holds) {
+        holdsSuspect = holds;
+    }
+
     /** Returns the work in flight and waiting relative to the limit. */
     double load() {
         return (gate.inFlight() + gate.queued() + 1.0) / Math.max(1, gate.limit());
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/caller/CallerConnection.java
@@ -0,0 +1,150 @@
+package org.sardineshunt.node.caller;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import org.jboss.logging.Logger;
+import org.sardineshunt.coordination.Reason;
+import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.kit.HttpCall;
+import org.sardineshunt.kit.HttpHandler;
+import org.sardineshunt.kit.HttpReply;
+
+/** One caller's connection: one request at a time, in order. All state belongs to the connection's event loop. */
+final class CallerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private static final Logger LOG = Logger.getLogger(CallerConnection.class);
+
+    private final HttpHandler handler;
+    private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
+    private boolean busy;
+    private boolean closing;
+    private long lastActivityNanos = System.nanoTime();
+
+    CallerConnection(HttpHandler handler) {
+        this.handler = handler;
+    }
+
+    /** Closes the connection as soon as no request is in flight and none has come for some time. */
+    void closeWhenQuiet(Channel channel, long quietNanos) {
+        channel.eventLoop().execute(() -> {
+            closing = true;
+            closeIfQuiet(channel, quietNanos);
+        });
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+        if (request.decoderResult().isFailure()) {
+            refuse(context, request.decoderResult().cause().getMessage());
+            return;
+        }
+        if (busy) {
+            waiting.add(request.retain());
+            return;
+        }
+        serve(context, request);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        waiting.forEach(FullHttpRequest::release);
+        waiting.clear();
+    }
+
+    private void serve(ChannelHandlerContext context, FullHttpRequest request) {
+        busy = true;
+        lastActivityNanos = System.nanoTime();
+        // The next request of the connection is read when this one is answered.
+        context.channel().config().setAutoRead(false);
+        boolean keepAlive = HttpUtil.isKeepAlive(request);
+        boolean head = request.method().equals(HttpMethod.HEAD);
+        HttpCall call = read(request);
+        handler.handle(call).whenComplete((reply, failure) -> context.executor().execute(() -> {
+            if (failure != null) {
+                LOG.errorf(failure, "handler of %s %s failed", call.method(), call.path());
+            }
+            HttpReply answer = failure == null ? reply : HttpReply.problem(500, "internal error", "see the log");
+            write(context, answer, keepAlive, head);
+        }));
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        LOG.debugf("connection of %s failed: %s", context.channel().remoteAddress(), cause.getMessage());
+        context.close();
+    }
+
+    private static HttpCall read(FullHttpRequest request) {
+        String target = request.uri();
+        int question = target.indexOf('?');
+        Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        request.headers().forEach(entry -> headers.merge(entry.getKey(), entry.getValue(), (a, b) -> a + ", " + b));
+        return new HttpCall(
+                request.method().name(),
+                question < 0 ? target : target.substring(0, question),
+                question < 0 ? "" : target.substring(question + 1),
+                headers,
+                ByteBufUtil.getBytes(request.content()),
+                Map.of());
+    }
+
+    private void refuse(ChannelHandlerContext context, String detail) {
+        HttpReply reply = HttpReply.problem(400, Reason.MALFORMED_REQUEST.label(), detail)
+                .with("Sardineshunt-Verdict", Verdict.NOT_RUN.label())
+                .with("Sardineshunt-Reason", Reason.MALFORMED_REQUEST.label());
+        write(context, reply, false, false);
+    }
+
+    private void write(ChannelHandlerContext context, HttpReply reply, boolean keepAlive, boolean head) {
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(reply.status()),
+                head ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(reply.body()));
+        reply.headers().forEach(header -> response.headers().add(header.getKey(), header.getValue()));
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
+        boolean close = closing
+                || !keepAlive
+                || response.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
+        if (close) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        busy = false;
+        lastActivityNanos = System.nanoTime();
+        context.writeAndFlush(response).addListener(close ? ChannelFutureListener.CLOSE : future -> {});
+        FullHttpRequest next = close ? null : waiting.poll();
+        if (next == null) {
+            context.channel().config().setAutoRead(!close);
+            return;
+        }
+        serve(context, next);
+        next.release();
+    }
+
+    private void closeIfQuiet(Channel channel, long quietNanos) {
+        long quietFor = System.nanoTime() - lastActivityNanos;
+        if (!busy && quietFor >= quietNanos) {
+            channel.close();
+        } else if (channel.isActive()) {
+            long wait = busy ? quietNanos : quietNanos - quietFor;
+            channel.eventLoop().schedule(() -> closeIfQuiet(channel, quietNanos), wait, TimeUnit.NANOSECONDS);
+        }
+    }
+}
--- a/node/src/main/java/org/sardineshunt/node/caller/CallerService.java
+++ b/node/src/main/java/org/sardineshunt/node/caller/CallerService.java
@@ -45,6 +45,9 @@
     /** Header with the client account of a request. */
     public static final String ACCOUNT_HEADER = "Sardineshunt-Account";
 
+    /** Path that issues tickets to a POST. */
+    public static final String TICKETS_PATH = "/sardineshunt/tickets";
+
     private static final Logger LOG = Logger.getLogger(CallerService.class);
     private static final String ANONYMOUS = "anonymous";
     private static final int LONGEST_KEY = 200;
@@ -90,22 +93,15 @@
 
     /** Answers a caller's request; may be called from any thread. */
     public CompletionStage<HttpReply> handle(HttpCall call) {
+        if (call.method().equals("POST") && call.path().equals(TICKETS_PATH)) {
+            return issueTicket();
+        }
         CompletableFuture<HttpReply> result = new CompletableFuture<>();
         long startedNanos = System.nanoTime();
         context.control().execute(() -> accept(call, startedNanos, result));
         return result;
     }
 
-    /** Answers a request for a ticket; may be called from any thread. */
-    public CompletionStage<HttpReply> issueTicket() {
-        return context.control().ask(() -> {
-            boolean refused = !ready || closing;
-            return refused
-                    ? HttpReply.problem(503, "no tickets now", "the node starts or stops")
-                    : HttpReply.json(200, new TicketBody(keys.issue().text()));
-        });
-    }
-
     /** Lets the service take requests, or refuse them until it is told again. */
     public void ready(boolean nowReady) {
         ready = nowReady;
@@ -142,6 +138,15 @@
         return keys.handOver();
     }
 
+    private CompletionStage<HttpReply> issueTicket() {
+        return context.control().ask(() -> {
+            boolean refused = !ready || closing;
+            return refused
+                    ? HttpReply.problem(503, "no tickets now", "the node starts or stops")
+                    : HttpReply.json(200, new TicketBody(keys.issue().text()));
+        });
+    }
+
     private void accept(HttpCall call, long startedNanos, CompletableFuture<HttpReply> result) {
         String requestId = nextRequestId();
         Option<RouteSettings> route = routes.find(call.method(), call.path());
--- a/node/src/main/java/org/sardineshunt/node/caller/Dispatcher.java
+++ b/node/src/main/java/org/sardineshunt/node/caller/Dispatcher.java
@@ -44,6 +44,7 @@
     private static final long REPLY_MARGIN_MILLIS = 100;
     private static final long ABANDON_TIMEOUT_MILLIS = 1_500;
     private static final long RUNNING_POLL_MILLIS = 100;
+    private static final long CRASH_NEWS_MILLIS = 200;
 
     private final ControlThread control;
     private final PeerCalls peers;
@@ -78,7 +79,14 @@
         inFlight++;
         flow.result.whenComplete((answer, failure) -> inFlight--);
         attempt(flow);
-        return flow.result;
+        return flow.result.thenCompose(answer -> flow.crashed ? afterCrashNews(answer) : flow.result);
+    }
+
+    // The caller may send the request again at once through another node, which must know of the crash by then.
+    private CompletableFuture<Answer> afterCrashNews(Answer answer) {
+        CompletableFuture<Answer> later = new CompletableFuture<>();
+        control.after(CRASH_NEWS_MILLIS, () -> later.complete(answer));
+        return later;
     }
 
     int inFlight() {
@@ -111,6 +119,7 @@
         Attempt attempt = Attempt.newBuilder()
                 .setAttemptId(attemptId)
                 .setTrial(chosen.trial())
+                .setSuspect(flow.crashed)
                 .setContent(flow.content.toBuilder().setDeadlineLeftMillis(left))
                 .build();
         choice.sent(nodeId);
@@ -150,6 +159,7 @@
         }
         if (answer.getUpstreamCrashed()) {
             crashes.recordCrash(flow.content.getFingerprint(), answer.getUpstreamId());
+            flow.crashed = true;
         }
         if (Answers.verdict(answer) == Verdict.RAN) {
             flow.end(answer);
@@ -278,6 +288,7 @@
         private Verdict verdictSoFar = Verdict.NOT_RUN;
         private Reason lastReason = Reason.NO_UPSTREAM;
         private int attempts;
+        private boolean crashed;
 
         private Flow(RequestContent content, long deadlineMillis) {
             this.content = content;
--- a/node/src/main/java/org/sardineshunt/node/peer/CrashRegister.java
+++ b/node/src/main/java/org/sardineshunt/node/peer/CrashRegister.java
@@ -20,17 +20,28 @@
     private final ControlThread control;
     private final CrashGuard guard = new CrashGuard(VICTIM_LIMIT, MEMORY_MILLIS);
     private final GossipQueue<CrashRecord> updates = new GossipQueue<>(GOSSIP_TIMES_PER_DECADE);
+    private Runnable onNews = () -> {};
 
     /** Creates an empty register. */
     public CrashRegister(ControlThread control) {
         this.control = control;
     }
 
+    /** Calls back after each new record, so that it can be spread at once. */
+    public void onNews(Runnable callback) {
+        onNews = callback;
+    }
+
     /** Returns whether a request must be refused. */
     public boolean refuses(String fingerprint) {
         return guard.refuses(control.nowMillis(), fingerprint);
     }
 
+    /** Returns whether an upstream crashed while it ran a request that has not been answered since. */
+    public boolean suspects(String fingerprint) {
+        return guard.suspects(control.nowMillis(), fingerprint);
+    }
+
     /** Records that an upstream crashed while it ran a request. */
     public void recordCrash(String fingerprint, String upstreamId) {
         if (guard.recordCrash(control.nowMillis(), fingerprint, upstreamId)) {
@@ -41,6 +52,7 @@
                             .setFingerprint(fingerprint)
                             .setUpstreamId(upstreamId)
                             .build());
+            onNews.run();
         }
     }
 
--- a/service-kit/src/main/java/org/sardineshunt/kit/Json.java
+++ b/service-kit/src/main/java/org/sardineshunt/kit/Json.java
@@ -105,6 +105,9 @@
                             .sorted()
                             .collect(Collectors.joining(", "));
         }
+        if (String.valueOf(malformed.getOriginalMessage()).startsWith("Cannot map `null`")) {
+            return "a value is required";
+        }
         Throwable cause = malformed.getCause();
         return cause instanceof IllegalArgumentException ? cause.getMessage() : malformed.getOriginalMessage();
     }
