Compare whole sessions of callers and operators with golden files

Five sessions: a caller's requests with keys, repeats, tickets and an outage; a quiet night override found in the morning from another node; two operators racing; overrides held back by the floor, expired and matching nothing; wrong input. Ages, times and ticket texts are normalised.

--- /dev/null
+++ b/control/src/test/java/org/sardineshunt/control/GoldenSessionTest.java
@@ -0,0 +1,309 @@
+package org.sardineshunt.control;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sardineshunt.kit.ExitCode;
+import org.sardineshunt.kit.TimeSpan;
+import org.sardineshunt.load.Deployment;
+import org.sardineshunt.load.FleetProbe;
+import org.sardineshunt.load.LocalFleet;
+import org.sardineshunt.node.NodeSettings;
+import org.sardineshunt.node.NodeSettings.RankSettings;
+import org.sardineshunt.node.NodeSettings.RouteSettings;
+import org.sardineshunt.standin.TableFaults;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Compares whole sessions with files under {@code src/test/resources/golden}. Set the system property
+ * {@code golden.update} to write the files anew.
+ */
+class GoldenSessionTest {
+    private static final Path DIRECTORY = Path.of("src", "test", "resources", "golden");
+
+    private final StringBuilder session = new StringBuilder();
+    private final OkHttpClient client = new OkHttpClient();
+    private LocalFleet fleet;
+    private FleetProbe probe;
+
+    @BeforeEach
+    void startFleet() {
+        Deployment deployment = new Deployment(
+                "almaty",
+                List.of("almaty-1", "almaty-2"),
+                1,
+                new TimeSpan(0),
+                "unused",
+                List.of(new Deployment.ServiceSize("seat-booking", 4, 4, new TimeSpan(10))),
+                List.of());
+        fleet = LocalFleet.start(deployment, template(), settings -> settings);
+        probe = new FleetProbe(fleet);
+    }
+
+    @AfterEach
+    void stopFleet() {
+        fleet.close();
+    }
+
+    @Test
+    void callerSession() throws IOException {
+        caller("GET", "/seats/aru", Map.of("X-Work-Id", "lookup"));
+        caller("POST", "/seats", Map.of("X-Work-Id", "no-key"));
+        caller("POST", "/seats", Map.of("X-Work-Id", "b1", "Idempotency-Key", "b1"));
+        caller("POST", "/seats", Map.of("X-Work-Id", "b1", "Idempotency-Key", "b1"));
+        caller("POST", "/seats/other", Map.of("X-Work-Id", "b1", "Idempotency-Key", "b1"));
+        caller("GET", "/nowhere", Map.of());
+        caller("GET", "/seats/aru", Map.of("Sardineshunt-Deadline-Left-Millis", "-5"));
+        caller("POST", "/seats", Map.of("X-Work-Id", "b2", "Idempotency-Key", "ticket.gone.1.1"));
+        fleet.platform().faults(new TableFaults(true, 0, 0));
+        caller("POST", "/seats", Map.of("X-Work-Id", "b3", "Idempotency-Key", "b3", "Sardineshunt-First-Send", "true"));
+        caller("POST", "/seats", Map.of("X-Work-Id", "b4", "Idempotency-Key", "b4"));
+
+        compare("caller");
+    }
+
+    @Test
+    void quietNightOverrideFoundInTheMorning() throws IOException {
+        control("overrides", "list");
+        add("night", "drain", "number=1", "aigul", "disk errors");
+        awaitRevision(1);
+        controlAt("almaty-2-n1", "digest", "--since", "12h");
+        controlAt("almaty-2-n1", "explain", "seat-booking");
+        control("overrides", "remove", "night", "--author", "daniyar", "--reason", "disk replaced");
+        awaitRevision(2);
+        controlAt("almaty-2-n1", "digest", "--since", "12h");
+
+        compare("quiet-night-override");
+    }
+
+    @Test
+    void racingOperators() throws IOException {
+        control(
+                "overrides",
+                "add",
+                "--id",
+                "first",
+                "--action",
+                "drain",
+                "--selector",
+                "number=1",
+                "--author",
+                "aigul",
+                "--reason",
+                "slow disk",
+                "--against",
+                "0");
+        awaitRevision(1);
+        controlAt(
+                "almaty-2-n1",
+                "overrides",
+                "add",
+                "--id",
+                "second",
+                "--action",
+                "keep-in",
+                "--selector",
+                "number=1|2",
+                "--author",
+                "daniyar",
+                "--reason",
+                "exam week",
+                "--against",
+                "0");
+        controlAt(
+                "almaty-2-n1",
+                "overrides",
+                "add",
+                "--id",
+                "second",
+                "--action",
+                "keep-in",
+                "--selector",
+                "number=1|2",
+                "--author",
+                "daniyar",
+                "--reason",
+                "exam week",
+                "--against",
+                "1");
+        awaitRevision(2);
+        control("overrides", "list");
+
+        compare("racing-operators");
+    }
+
+    @Test
+    void overridesThatAreHeldExpiredOrMatchNothing() throws IOException {
+        add("everything", "drain", "service=seat-booking", "aigul", "moving house");
+        add("nothing", "drain", "rack=r99", "aigul", "typing error");
+        control(
+                "overrides",
+                "add",
+                "--id",
+                "short",
+                "--action",
+                "drain",
+                "--selector",
+                "number=2",
+                "--author",
+                "aigul",
+                "--reason",
+                "a quick look",
+                "--lasts",
+                "1ms");
+        awaitRevision(3);
+        probe.await("drains published", () -> probe.inRotation("almaty-1-n1").size() == 2);
+        control("overrides", "list");
+        control("services");
+        control("explain", "seat-booking");
+
+        compare("held-expired-unmatched");
+    }
+
+    @Test
+    void wrongInputOfOperators() throws IOException {
+        add("bad", "drian", "number=1", "aigul", "typo");
+        add("bad", "drain", "number", "aigul", "typo");
+        add("bad", "urgent", "service=seat-booking", "aigul", "no rank");
+        control("overrides", "remove", "absent", "--author", "aigul", "--reason", "cleaning");
+        fleet.platform().faults(new TableFaults(true, 0, 0));
+        add("later", "drain", "number=1", "aigul", "platform is down");
+
+        compare("wrong-input");
+    }
+
+    private void add(String id, String action, String selector, String author, String reason) {
+        control(
+                "overrides",
+                "add",
+                "--id",
+                id,
+                "--action",
+                action,
+                "--selector",
+                selector,
+                "--author",
+                author,
+                "--reason",
+                reason);
+    }
+
+    private void awaitRevision(long revision) {
+        probe.await("revision " + revision, () -> fleet.nodeIds().stream()
+                .allMatch(nodeId -> probe.revision(nodeId) == revision));
+        FleetProbe.pause(1_300);
+    }
+
+    private void control(String... arguments) {
+        controlAt("almaty-1-n1", arguments);
+    }
+
+    private void controlAt(String nodeId, String... arguments) {
+        String[] all = java.util.stream.Stream.concat(
+                        java.util.Arrays.stream(arguments),
+                        java.util.stream.Stream.of("--node", fleet.operatorUrl(nodeId)))
+                .toArray(String[]::new);
+        record("$ sardineshunt-control " + String.join(" ", arguments) + " (" + nodeId + ")");
+        ExitCode[] code = new ExitCode[1];
+        record(capture(ignored -> code[0] = ControlMain.run(all)).stripTrailing());
+        record("exit code " + code[0].code() + "\n");
+    }
+
+    private void caller(String method, String path, Map<String, String> headers) throws IOException {
+        record("> " + method + ' ' + path + ' ' + new java.util.TreeMap<>(headers));
+        Request.Builder request = new Request.Builder()
+                .url(fleet.callerUrls().get(0) + path)
+                .method(method, method.equals("GET") ? null : RequestBody.create("{}".getBytes()));
+        headers.forEach(request::header);
+        try (Response response = client.newCall(request.build()).execute()) {
+            record("< " + response.code() + " verdict " + response.header("Sardineshunt-Verdict") + ", reason "
+                    + response.header("Sardineshunt-Reason") + ", ticket "
+                    + (response.header("Sardineshunt-Ticket") == null ? "none" : "given"));
+            record("< " + response.body().string().strip() + "\n");
+        }
+    }
+
+    private void record(String line) {
+        session.append(line).append('\n');
+    }
+
+    private void compare(String name) throws IOException {
+        Path file = DIRECTORY.resolve(name + ".txt");
+        String actual = normalise(session.toString());
+        if (System.getProperty("golden.update") != null) {
+            Files.writeString(file, actual);
+        }
+        assertThat(actual, is(Files.readString(file)));
+    }
+
+    // Columns are as wide as the longest cell, so that ages also move the cells behind them.
+    private static String normalise(String text) {
+        return text.replaceAll("\\b\\d+[smh](?= {2})", "AGE")
+                .replaceAll("\\d{4}-\\d\\d-\\d\\dT[0-9:.]+Z", "TIME")
+                .replaceAll("seat-booking-\\d\",\"request", "UPSTREAM\",\"request")
+                .replaceAll("ticket\\.[a-z0-9.-]+\\.[a-z0-9]+\\.[a-z0-9]+", "TICKET")
+                .replaceAll(" {2,}", "  ");
+    }
+
+    private static String capture(Consumer<PrintStream> action) {
+        PrintStream out = System.out;
+        PrintStream err = System.err;
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        PrintStream captured = new PrintStream(bytes, true, StandardCharsets.UTF_8);
+        System.setOut(captured);
+        System.setErr(captured);
+        try {
+            action.accept(captured);
+        } finally {
+            System.setOut(out);
+            System.setErr(err);
+        }
+        return bytes.toString(StandardCharsets.UTF_8)
+                .lines()
+                .filter(line -> !line.startsWith("{\"timestamp\""))
+                .collect(java.util.stream.Collectors.joining("\n"));
+    }
+
+    private static NodeSettings template() {
+        return new NodeSettings(
+                "template",
+                "dc",
+                "region",
+                null,
+                null,
+                "http://127.0.0.1:1",
+                List.of(new RankSettings("booking", 0.2), new RankSettings("status", 0.1)),
+                List.of(
+                        new RouteSettings(
+                                "POST", "/seats", "seat-booking", "booking", false, true, new TimeSpan(3_000)),
+                        new RouteSettings("GET", "/seats", "seat-booking", "status", true, false, new TimeSpan(1_000))),
+                0.5,
+                null,
+                new NodeSettings.TimingSettings(
+                        new TimeSpan(300),
+                        new TimeSpan(100),
+                        null,
+                        null,
+                        new TimeSpan(0),
+                        new TimeSpan(300),
+                        null,
+                        null),
+                null);
+    }
+}
--- a/load/src/main/java/org/sardineshunt/load/FleetProbe.java
+++ b/load/src/main/java/org/sardineshunt/load/FleetProbe.java
@@ -88,7 +88,8 @@
         throw new IllegalStateException("waited " + LONGEST_WAIT_SECONDS + " s in vain for: " + what);
     }
 
-    static void pause(long millis) {
+    /** Waits for some milliseconds. */
+    public static void pause(long millis) {
         try {
             TimeUnit.MILLISECONDS.sleep(millis);
         } catch (InterruptedException interrupted) {
