Keep a flood from ejecting healthy upstreams and from using up retries

Causes: (1) work was started with less time left than its service takes; the backend server shed it or the deadline cut it, and both counted as failures of the upstream, so healthy upstreams went out and capacity fell; (2) the retry budget was one per service, and the flood used up the retries of bookings. Ruled out: rank order in the queue (urgent work is started first in HomeGateTest) and the capacity floor (it held).

Work now starts only if 1.5 times the mean service time is left, a request that was given less time than a usual one takes says nothing of health, and budgets are per service and rank.

--- a/control/src/test/java/org/sardineshunt/control/GoldenSessionTest.java
+++ b/control/src/test/java/org/sardineshunt/control/GoldenSessionTest.java
@@ -51,6 +51,8 @@
                 new TimeSpan(0),
                 "unused",
                 List.of(new Deployment.ServiceSize("seat-booking", 4, 4, new TimeSpan(10))),
+                List.of(),
+                "seat-booking",
                 List.of());
         fleet = LocalFleet.start(deployment, template(), settings -> settings);
         probe = new FleetProbe(fleet);
--- a/coordination/src/main/java/org/sardineshunt/coordination/limit/HomeGate.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/limit/HomeGate.java
@@ -32,6 +32,7 @@
 public final class HomeGate<T> {
     private static final double SERVICE_TIME_WEIGHT = 0.1;
     private static final double HIGHEST_CREDIT = 2;
+    private static final double SERVICE_ALLOWANCE = 1.5;
 
     private final Map<String, Rank> ranks;
     private final Map<String, Deque<Work<T>>> queues = new LinkedHashMap<>();
@@ -114,7 +115,7 @@
 
     /** Removes and returns waiting work that can't be answered in time any more. */
     public List<Work<T>> removeExpired(long nowMillis) {
-        return removeWaiting(work -> work.deadlineMillis() <= nowMillis);
+        return removeWaiting(work -> !canEndInTime(nowMillis, work));
     }
 
     /** Removes and returns all waiting work. */
@@ -160,7 +161,12 @@
 
     private boolean lacksSlack(long nowMillis, Work<T> work) {
         double slack = work.deadlineMillis() - nowMillis;
-        return expectedWaitMillis(work.rank()) + meanServiceMillis > slack;
+        return expectedWaitMillis(work.rank()) + SERVICE_ALLOWANCE * meanServiceMillis > slack;
+    }
+
+    private boolean canEndInTime(long nowMillis, Work<T> work) {
+        double needed = refuseWithoutSlack ? SERVICE_ALLOWANCE * meanServiceMillis : 0;
+        return work.deadlineMillis() - nowMillis > needed;
     }
 
     private List<Work<T>> startWaiting(long nowMillis) {
@@ -190,7 +196,7 @@
         credits.computeIfPresent(chosen.name(), (name, credit) -> Math.max(0, credit - 1));
         Iterable<Work<T>> queue = queues.get(chosen.name());
         for (Work<T> work : queue) {
-            if (work.deadlineMillis() > nowMillis) {
+            if (canEndInTime(nowMillis, work)) {
                 queues.get(chosen.name()).remove(work);
                 return Optional.of(work);
             }
@@ -199,7 +205,7 @@
     }
 
     private boolean hasTimely(Rank rank, long nowMillis) {
-        return queues.get(rank.name()).stream().anyMatch(work -> work.deadlineMillis() > nowMillis);
+        return queues.get(rank.name()).stream().anyMatch(work -> canEndInTime(nowMillis, work));
     }
 
     private void earnCredit(Rank rank) {
--- a/coordination/src/test/java/org/sardineshunt/coordination/limit/HomeGateTest.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/limit/HomeGateTest.java
@@ -78,6 +78,15 @@
         assertThat(gate.removeExpired(200).size(), is(1));
     }
 
+    @Test
+    void workWithoutTimeForItsServiceNeverStarts() {
+        gate.offer(0, work("browse", 1_000));
+        gate.offer(0, work("browse", 100));
+
+        assertThat(gate.finish(95, SERVICE_MILLIS).isEmpty(), is(true));
+        assertThat(gate.removeExpired(95).size(), is(1));
+    }
+
     @Test
     void lowerLimitStartsNothingNew() {
         gate.offer(0, work("browse", 1_000));
--- a/load/src/main/java/org/sardineshunt/load/Deployment.java
+++ b/load/src/main/java/org/sardineshunt/load/Deployment.java
@@ -17,7 +17,9 @@
  * @param clientDelay round trip between callers and nodes, added to each request by the load tool
  * @param nodeSettings settings file, relative to this one, whose ranks and routes all nodes take
  * @param services services with their upstreams
- * @param kinds kinds of requests
+ * @param kinds kinds of requests, the most urgent first
+ * @param sharedService service that floods are aimed at
+ * @param sharedPaths starts of the paths that this service serves
  */
 public record Deployment(
         String region,
@@ -26,12 +28,15 @@
         TimeSpan clientDelay,
         String nodeSettings,
         List<ServiceSize> services,
-        List<WorkKind> kinds) {
+        List<WorkKind> kinds,
+        String sharedService,
+        List<String> sharedPaths) {
     /** Copies the lists. */
     public Deployment {
         dataCentres = List.copyOf(dataCentres);
         services = List.copyOf(services);
         kinds = List.copyOf(kinds);
+        sharedPaths = sharedPaths == null ? List.of() : List.copyOf(sharedPaths);
     }
 
     /** Returns the deployment of a file, or a message with file, line and column. */
@@ -44,6 +49,11 @@
         return NodeSettings.read(deploymentFile.resolveSibling(nodeSettings).normalize());
     }
 
+    /** Returns the kinds that share one service, the most urgent first. */
+    public List<WorkKind> sharedKinds() {
+        return kinds.stream().filter(kind -> sharedPaths.contains(kind.path())).toList();
+    }
+
     /** Returns the requests a second that a service can serve. */
     public double capacity(String service) {
         return services.stream()
--- /dev/null
+++ b/load/src/main/java/org/sardineshunt/load/ExperimentReport.java
@@ -0,0 +1,58 @@
+package org.sardineshunt.load;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.stream.Collectors;
+
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.CategoryChart;
+import org.knowm.xchart.CategoryChartBuilder;
+import org.sardineshunt.kit.Json;
+
+/** Writes the results of an experiment as JSON, as a table, and as one HTML page with a plot. */
+final class ExperimentReport {
+    private static final int WIDTH = 900;
+    private static final int HEIGHT = 420;
+
+    private ExperimentReport() {}
+
+    static void write(Path directory, String name, List<Experiment.SystemResult> results) throws IOException {
+        Files.createDirectories(directory);
+        String table = results.stream().map(Experiment.SystemResult::table).collect(Collectors.joining("\n"));
+        Files.writeString(directory.resolve("report.json"), Json.pretty(results));
+        Files.writeString(directory.resolve("report.txt"), table);
+        Files.writeString(directory.resolve("report.html"), page(name, table, results));
+    }
+
+    private static String page(String name, String table, List<Experiment.SystemResult> results) throws IOException {
+        byte[] image = BitmapEncoder.getBitmapBytes(chart(results), BitmapEncoder.BitmapFormat.PNG);
+        return "<!doctype html><meta charset=\"utf-8\"><title>" + name + "</title><h1>" + name + "</h1>"
+                + "<img alt=\"served in time\" src=\"data:image/png;base64,"
+                + Base64.getEncoder().encodeToString(image) + "\"><pre>"
+                + table.replace("&", "&amp;").replace("<", "&lt;") + "</pre>\n";
+    }
+
+    private static CategoryChart chart(List<Experiment.SystemResult> results) {
+        CategoryChart chart = new CategoryChartBuilder()
+                .width(WIDTH)
+                .height(HEIGHT)
+                .title("Served in time by phase and kind")
+                .yAxisTitle("percent")
+                .build();
+        chart.getStyler().setXAxisLabelRotation(45);
+        results.forEach(result -> {
+            List<String> names = new ArrayList<>();
+            List<Double> shares = new ArrayList<>();
+            result.report().kinds().forEach(kind -> {
+                names.add(kind.phase() + ' ' + kind.kind());
+                shares.add(100.0 * kind.inTime() / kind.sent());
+            });
+            chart.addSeries(result.system(), names, shares);
+        });
+        return chart;
+    }
+}
--- a/load/src/main/java/org/sardineshunt/load/LoadMain.java
+++ b/load/src/main/java/org/sardineshunt/load/LoadMain.java
@@ -6,8 +6,11 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
+import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
@@ -22,6 +25,7 @@
 import org.sardineshunt.kit.Json;
 import org.sardineshunt.kit.ProgramCommand;
 import org.sardineshunt.load.LoadPlan.Phase;
+import org.sardineshunt.node.NodeSettings;
 
 /** The program {@code sardineshunt-load}. */
 public final class LoadMain {
@@ -32,7 +36,7 @@
         CliBuilder<ProgramCommand> cli = new CliBuilder<ProgramCommand>("sardineshunt-load")
                 .withDescription("Open-loop load by rank, and experiments")
                 .withDefaultCommand(HelpCommand.class)
-                .withCommands(List.of(HelpCommand.class, RunCommand.class));
+                .withCommands(List.of(HelpCommand.class, RunCommand.class, ExperimentCommand.class));
         System.exit(
                 CommandLine.run(cli.build(), System.out, System.err, arguments).code());
     }
@@ -122,4 +126,49 @@
                     .toList();
         }
     }
+
+    /** Runs an experiment with the fleet and with plain proxies. */
+    @Command(name = "experiment", description = "Run a scenario with the fleet and with two plain proxies")
+    public static final class ExperimentCommand implements ProgramCommand {
+        @Required
+        @Arguments(description = "Name of the scenario")
+        private String name;
+
+        @Required
+        @Option(name = "--deployment", description = "Deployment file")
+        private String deploymentFile;
+
+        @Option(name = "--systems", description = "Systems to run; default sardineshunt,least-outstanding,round-robin")
+        private String systems = "sardineshunt,least-outstanding,round-robin";
+
+        @Option(name = "--seed", description = "Seed of the arrival times")
+        private long seed = 1;
+
+        @Option(name = "--out", description = "Directory for report.json, report.txt and report.html")
+        private String out;
+
+        @Override
+        public ExitCode execute() throws IOException {
+            Path file = Path.of(deploymentFile);
+            Either<String, Deployment> deployment = Deployment.read(file);
+            Either<String, NodeSettings> template = deployment.flatMap(read -> read.template(file));
+            if (template.isLeft()) {
+                System.err.println(template.getLeft());
+                return ExitCode.SETTINGS;
+            }
+            Optional<Scenario> scenario = Scenario.find(name);
+            if (scenario.isEmpty()) {
+                System.err.println("unknown scenario '" + name + "'; allowed: "
+                        + Arrays.stream(Scenario.values()).map(Scenario::label).collect(Collectors.joining(", ")));
+                return ExitCode.USAGE;
+            }
+            Experiment experiment = new Experiment(deployment.get(), template.get(), scenario.get(), seed);
+            List<Experiment.SystemResult> results = experiment.run(Arrays.asList(systems.split(",")));
+            results.forEach(result -> System.out.print(result.table()));
+            if (out != null) {
+                ExperimentReport.write(Path.of(out), name, results);
+            }
+            return results.get(0).report().safety().holds() ? ExitCode.OK : ExitCode.FAILED;
+        }
+    }
 }
--- a/load/src/main/java/org/sardineshunt/load/LocalFleet.java
+++ b/load/src/main/java/org/sardineshunt/load/LocalFleet.java
@@ -90,6 +90,18 @@
                 .toList();
     }
 
+    /** Returns the names of all upstreams. */
+    public List<String> allServers() {
+        return List.copyOf(servers.keySet());
+    }
+
+    /** Returns how many requests all backend servers received. */
+    public int received() {
+        return servers.values().stream()
+                .mapToInt(BackendServerStandIn::received)
+                .sum();
+    }
+
     /** Returns the home node of an upstream. */
     public String homeOf(String upstreamId) {
         return homes.get(upstreamId);
--- a/load/src/test/java/org/sardineshunt/load/EjectionTest.java
+++ b/load/src/test/java/org/sardineshunt/load/EjectionTest.java
@@ -1,6 +1,7 @@
 package org.sardineshunt.load;
 
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.StreamSupport;
 
@@ -79,6 +80,21 @@
         assertThat(ejected(), is(empty()));
     }
 
+    @Test
+    void floodEjectsNoHealthyUpstreamAndCostsUrgentWorkNothing() {
+        java.util.Set<String> out = new java.util.TreeSet<>();
+
+        LoadReport report = SmallFleet.load(fleet, 7_000, 34, Map.of("status", 18.0), () -> {
+            for (int sample = 0; sample < 60; sample++) {
+                out.addAll(ejected());
+                FleetProbe.pause(100);
+            }
+        });
+
+        assertThat(out, is(empty()));
+        assertThat(report.table(), shareInTime(report, "booking"), greaterThanOrEqualTo(0.99));
+    }
+
     @Test
     void recoveredUpstreamComesBackThroughLookups() {
         SmallFleet.load(fleet, 16_000, 33, () -> {
@@ -103,6 +119,13 @@
         return millis.get();
     }
 
+    private static double shareInTime(LoadReport report, String kind) {
+        return report.kinds().stream()
+                .filter(figures -> figures.kind().equals(kind))
+                .mapToDouble(figures -> (double) figures.inTime() / figures.sent())
+                .sum();
+    }
+
     private List<String> ejected() {
         return StreamSupport.stream(
                         probe.get("dc-1-n1", "/operator/services/seat-booking")
--- a/load/src/test/java/org/sardineshunt/load/SmallFleet.java
+++ b/load/src/test/java/org/sardineshunt/load/SmallFleet.java
@@ -44,7 +44,9 @@
                 new TimeSpan(0),
                 "unused",
                 List.of(new ServiceSize("seat-booking", upstreams, 4, new TimeSpan(serviceMillis))),
-                List.of(BOOKING, STATUS));
+                List.of(BOOKING, STATUS),
+                "seat-booking",
+                List.of("/seats"));
         return LocalFleet.start(deployment, template(), settings -> settings);
     }
 
@@ -100,8 +102,13 @@
 
     /** Sends requests of all kinds for some time and returns the checked results. */
     static LoadReport load(LocalFleet fleet, long millis, long seed, Runnable meanwhile) {
+        return load(fleet, millis, seed, Map.of(), meanwhile);
+    }
+
+    /** Sends requests with some kinds' usual rates multiplied. */
+    static LoadReport load(LocalFleet fleet, long millis, long seed, Map<String, Double> factors, Runnable meanwhile) {
         LoadPlan plan =
-                LoadPlan.draw(List.of(BOOKING, STATUS), List.of(new LoadPlan.Phase("run", 0, millis, Map.of())), seed);
+                LoadPlan.draw(List.of(BOOKING, STATUS), List.of(new LoadPlan.Phase("run", 0, millis, factors)), seed);
         Thread failures = new Thread(meanwhile, "failures");
         try (LoadClient client = new LoadClient(fleet.callerUrls(), 0)) {
             failures.start();
--- a/node/src/main/java/org/sardineshunt/node/backendserver/HomeService.java
+++ b/node/src/main/java/org/sardineshunt/node/backendserver/HomeService.java
@@ -50,7 +50,7 @@
     private static final long TICK_MILLIS = 50;
     private static final long REPORT_MILLIS = 500;
     private static final long ANSWER_RETENTION_MILLIS = 30_000;
-    private static final long TIMEOUT_COUNTS_AFTER_MILLIS = 1_000;
+    private static final long AMPLE_MILLIS = 1_000;
 
     private final ControlThread control;
     private final NodeSettings settings;
@@ -269,8 +269,11 @@
                 .build();
         attempts.finish(now, work.id(), complete);
         boolean healthyBefore = upstream.health().condition(now) == Condition.HEALTHY;
-        List<Work<PendingAttempt>> next =
-                upstream.finished(now, work.id(), outcome(answer), saysSomething(answer, now - startedMillis));
+        List<Work<PendingAttempt>> next = upstream.finished(
+                now,
+                work.id(),
+                outcome(answer),
+                saysSomething(upstream, answer, work.deadlineMillis() - startedMillis));
         if (healthyBefore && upstream.health().condition(now) == Condition.UNHEALTHY) {
             LOG.warnf(
                     "upstream '%s' is unhealthy, severity %d",
@@ -286,10 +289,12 @@
         return Answers.verdict(answer) == Verdict.RAN ? Outcome.SUCCESS : Outcome.FAILURE;
     }
 
-    private static boolean saysSomething(Answer answer, long tookMillis) {
+    // A request that was given less time than a usual one takes says nothing of the upstream.
+    private static boolean saysSomething(HomeUpstream upstream, Answer answer, long givenMillis) {
         return switch (Answers.reason(answer)) {
             case MALFORMED_REQUEST, ANSWER_TOO_LARGE -> false;
-            case DEADLINE_PASSED -> tookMillis >= TIMEOUT_COUNTS_AFTER_MILLIS;
+            case DEADLINE_PASSED, BACKEND_SERVER_SHED -> givenMillis
+                    >= Math.min(AMPLE_MILLIS, upstream.health().slowLimitMillis());
             default -> true;
         };
     }
--- a/node/src/main/java/org/sardineshunt/node/caller/Dispatcher.java
+++ b/node/src/main/java/org/sardineshunt/node/caller/Dispatcher.java
@@ -75,7 +75,7 @@
     CompletableFuture<Answer> dispatch(RequestContent content) {
         long deadline = control.nowMillis() + content.getDeadlineLeftMillis();
         Flow flow = new Flow(content, deadline);
-        budget(content.getService()).recordFirstAttempt();
+        budget(content).recordFirstAttempt();
         inFlight++;
         flow.result.whenComplete((answer, failure) -> inFlight--);
         attempt(flow);
@@ -182,7 +182,7 @@
                         new RetryPolicy.Failure(flow.attempts, verdict, reason),
                         flow.content.getIdempotent(),
                         left,
-                        budget(flow.content.getService()))
+                        budget(flow.content))
                 .peek(next -> {
                     metrics.retried(reason);
                     attempt(flow);
@@ -275,8 +275,10 @@
         MDC.clear();
     }
 
-    private RetryBudget budget(String service) {
-        return budgets.computeIfAbsent(service, key -> new RetryBudget(RETRY_SHARE, RETRY_RESERVE));
+    // Each rank has its own budget, so that a flood of one does not use up the retries of another.
+    private RetryBudget budget(RequestContent content) {
+        return budgets.computeIfAbsent(
+                content.getService() + '/' + content.getRank(), key -> new RetryBudget(RETRY_SHARE, RETRY_RESERVE));
     }
 
     /** One request on its way. */
