Index routes and homes, and name the place of unknown settings keys

Routes are now found by their path's segments and a service's homes by its name.

An unknown key was reported at the end of its object (line 3 in place of 2 in NodeSettingsTest, which failed before); the place is now the key's own. RouteTableTest 3 of 3 and NodeSettingsTest 6 of 6 pass.

--- a/coordination/src/main/java/org/sardineshunt/coordination/membership/MemberTable.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/membership/MemberTable.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -23,6 +24,7 @@
     public static final int BUCKETS = 256;
 
     private final Map<String, Member> members = new TreeMap<>();
+    private final Map<String, Map<String, Member>> homes = new HashMap<>();
     private final Map<String, Long> endedAtMillis = new HashMap<>();
     private final long[] digests = new long[BUCKETS];
 
@@ -38,7 +40,9 @@
         }
         if (known != null) {
             toggleDigest(known);
+            removeFromHomes(known);
         }
+        addToHomes(member);
         members.put(member.nodeId(), member);
         toggleDigest(member);
         if (member.isReachable()) {
@@ -56,7 +60,9 @@
                 .map(Map.Entry::getKey)
                 .toList();
         forgotten.forEach(nodeId -> {
-            toggleDigest(members.remove(nodeId));
+            Member member = members.remove(nodeId);
+            toggleDigest(member);
+            removeFromHomes(member);
             endedAtMillis.remove(nodeId);
         });
     }
@@ -71,6 +77,17 @@
         return Collections.unmodifiableCollection(members.values());
     }
 
+    /** Returns the nodes that have upstreams of a service, ended ones included, ordered by node id. */
+    public Collection<Member> homes(String service) {
+        return Collections.unmodifiableCollection(
+                homes.getOrDefault(service, Map.of()).values());
+    }
+
+    /** Returns the names of all services that some node has upstreams of, in no order. */
+    public Set<String> services() {
+        return Collections.unmodifiableSet(homes.keySet());
+    }
+
     /** Returns the nodes that work may be sent to, ordered by node id. */
     public Stream<Member> reachable() {
         return members.values().stream().filter(Member::isReachable);
@@ -96,6 +113,19 @@
                 .toList();
     }
 
+    private void addToHomes(Member member) {
+        member.upstreams().forEach(upstream -> homes.computeIfAbsent(upstream.service(), key -> new TreeMap<>())
+                .put(member.nodeId(), member));
+    }
+
+    private void removeFromHomes(Member member) {
+        member.upstreams()
+                .forEach(upstream -> homes.computeIfPresent(upstream.service(), (key, nodes) -> {
+                    nodes.remove(member.nodeId());
+                    return nodes.isEmpty() ? null : nodes;
+                }));
+    }
+
     private void toggleDigest(Member member) {
         long stamp = Rendezvous.hash(member.nodeId())
                 ^ Rendezvous.mix(member.incarnation() * 31 + member.version())
--- a/coordination/src/test/java/org/sardineshunt/coordination/membership/MemberTableTest.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/membership/MemberTableTest.java
@@ -49,6 +49,18 @@
         assertThat(table.merge(0, member("a", 2, 6, Member.State.ALIVE)), is(true));
     }
 
+    @Test
+    void homesOfAServiceFollowTheRecords() {
+        table.merge(0, serving("a", 1, "booking"));
+        table.merge(0, serving("b", 1, "booking"));
+        assertThat(table.homes("booking").size(), is(2));
+
+        table.merge(0, serving("a", 2, "billing"));
+
+        assertThat(table.homes("booking").stream().map(Member::nodeId).toList(), is(List.of("b")));
+        assertThat(table.services(), is(java.util.Set.of("booking", "billing")));
+    }
+
     @Test
     void endedNodesAreForgottenAfterTheirTime() {
         table.merge(0, member("a", 1, 1, Member.State.DEAD));
@@ -74,6 +86,13 @@
                 .ofMaxSize(25);
     }
 
+    private static Member serving(String id, long version, String service) {
+        Member plain = member(id, 1, version, Member.State.ALIVE);
+        UpstreamInfo upstream = new UpstreamInfo(
+                id + "-u", service, 4, org.sardineshunt.coordination.rotation.Condition.HEALTHY, 0, List.of(), false);
+        return new Member(id, 1, version, plain.state(), plain.endpoint(), plain.place(), "", List.of(upstream));
+    }
+
     private static Member member(String id, long incarnation, long version, Member.State state) {
         return new Member(
                 id,
--- /dev/null
+++ b/load/src/main/java/org/sardineshunt/load/CapacityProbe.java
@@ -0,0 +1,217 @@
+package org.sardineshunt.load;
+
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.IntFunction;
+import java.util.function.IntSupplier;
+import java.util.stream.IntStream;
+
+import org.sardineshunt.coordination.intent.Intent;
+import org.sardineshunt.coordination.intent.IntentSet;
+import org.sardineshunt.coordination.intent.Selector;
+import org.sardineshunt.coordination.limit.AccountLimiter;
+import org.sardineshunt.coordination.membership.FailureDetector;
+import org.sardineshunt.coordination.membership.Member;
+import org.sardineshunt.coordination.membership.MemberTable;
+import org.sardineshunt.coordination.membership.UpstreamInfo;
+import org.sardineshunt.coordination.once.KeyLedger;
+import org.sardineshunt.coordination.once.Ticket;
+import org.sardineshunt.coordination.rotation.Candidate;
+import org.sardineshunt.coordination.rotation.Condition;
+import org.sardineshunt.coordination.rotation.Rotation;
+import org.sardineshunt.kit.TimeSpan;
+import org.sardineshunt.node.NodeSettings.RouteSettings;
+import org.sardineshunt.node.caller.RouteTable;
+import org.sardineshunt.node.peer.MessageCodec;
+
+/** Measures memory, message sizes and processor time of control state at several sizes, for the page on capacity. */
+final class CapacityProbe {
+    private static final int UPSTREAMS_PER_NODE = 15;
+    private static final int UPSTREAMS_PER_SERVICE = 27;
+    private static final int WARM_UPS = 3;
+    private static final long SEED = 5;
+
+    private final StringBuilder table = new StringBuilder();
+
+    /** Returns a table with one line for each measure and size. */
+    String run() {
+        table.append(String.format("%-34s %10s %14s %s%n", "MEASURE", "SIZE", "VALUE", "UNIT"));
+        for (int nodes : new int[] {500, 1_500, 3_500, 6_700}) {
+            measureMembers(nodes);
+        }
+        for (int intents : new int[] {100, 1_000, 5_000, 20_000}) {
+            memory("intents", intents, CapacityProbe::intents);
+        }
+        for (int accounts : new int[] {1_000, 10_000, 50_000, 180_000}) {
+            memory("accounts", accounts, CapacityProbe::accounts);
+        }
+        for (int keys : new int[] {1_000, 5_000, 20_000, 50_000}) {
+            memory("kept keyed outcomes", keys, CapacityProbe::keys);
+        }
+        for (int routes : new int[] {100, 1_000, 10_000, 55_000}) {
+            memory("routes", routes, CapacityProbe::routes);
+            RouteTable sample = routes(routes);
+            micros(
+                    "route lookup",
+                    routes,
+                    20_000,
+                    () -> sample.find("GET", "/s" + routes / 2 + "/x").isDefined() ? 1 : 0);
+        }
+        for (int upstreams : new int[] {9, 27, 81, 243}) {
+            List<Candidate> candidates = candidates(upstreams);
+            Rotation rotation = Rotation.builder().build();
+            micros("rotation of a service", upstreams, 5_000, () -> rotation.place(candidates)
+                    .size());
+        }
+        return table.toString();
+    }
+
+    private void measureMembers(int nodes) {
+        memory("members with 15 upstreams", nodes, CapacityProbe::members);
+        MemberTable members = members(nodes);
+        Member sample = members.all().iterator().next();
+        line("member record on the wire", nodes, MessageCodec.encode(sample).getSerializedSize(), "bytes");
+        List<Member> sameDataCentre = members.all().stream()
+                .filter(member -> member.place().dataCentre().equals("dc-0"))
+                .toList();
+        FailureDetector detector = new FailureDetector(1_000, 3, 4, new Random(SEED));
+        micros("probe period", nodes, 500, () -> detector.tick(0, sameDataCentre)
+                .size());
+        int[] version = {10};
+        micros(
+                "merge of a changed record",
+                nodes,
+                2_000,
+                () -> members.merge(0, withVersion(sample, version[0]++)) ? 1 : 0);
+        micros("digests for anti-entropy", nodes, 2_000, () -> members.digests().length);
+        micros("homes of a service", nodes, 20_000, () -> members.homes("service-7")
+                .size());
+    }
+
+    private <T> void memory(String name, int size, IntFunction<T> make) {
+        make.apply(Math.min(size, 100));
+        long before = liveHeap();
+        T kept = make.apply(size);
+        long used = liveHeap() - before;
+        line(name, size, used / 1024.0, "KiB live heap");
+        if (kept.hashCode() == Integer.MIN_VALUE) {
+            table.append("");
+        }
+    }
+
+    private void micros(String name, int size, int runs, IntSupplier action) {
+        long sum = 0;
+        for (int round = 0; round < WARM_UPS; round++) {
+            sum += IntStream.range(0, runs).map(run -> action.getAsInt()).sum();
+        }
+        long start = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+        sum += IntStream.range(0, runs).map(run -> action.getAsInt()).sum();
+        long nanos = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - start;
+        line(name, size, nanos / 1_000.0 / runs, sum == Long.MIN_VALUE ? "" : "us processor time");
+    }
+
+    private void line(String name, int size, double value, String unit) {
+        table.append(String.format("%-34s %10d %14.2f %s%n", name, size, value, unit));
+    }
+
+    private static long liveHeap() {
+        for (int round = 0; round < WARM_UPS; round++) {
+            System.gc();
+        }
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+
+    private static MemberTable members(int nodes) {
+        MemberTable members = new MemberTable();
+        int services = Math.max(1, nodes * UPSTREAMS_PER_NODE / UPSTREAMS_PER_SERVICE);
+        IntStream.range(0, nodes)
+                .forEach(node -> members.merge(0, MessageCodec.decode(MessageCodec.encode(member(node, services)))));
+        return members;
+    }
+
+    private static Member member(int node, int services) {
+        List<UpstreamInfo> upstreams = new ArrayList<>();
+        for (int number = 0; number < UPSTREAMS_PER_NODE; number++) {
+            String service = "service-" + (node * UPSTREAMS_PER_NODE + number) % services;
+            upstreams.add(new UpstreamInfo(
+                    service + "-" + node + "-" + number, service, 4, Condition.HEALTHY, 0, List.of(), false));
+        }
+        return new Member(
+                "node-" + node,
+                1,
+                1,
+                Member.State.ALIVE,
+                new Member.Endpoint("10.0." + node / 256 + "." + node % 256, 7301, 7201),
+                new Member.Place("dc-" + node % 14, "region-" + node % 5),
+                "",
+                upstreams);
+    }
+
+    private static Member withVersion(Member member, long version) {
+        return new Member(
+                member.nodeId(),
+                member.incarnation(),
+                version,
+                member.state(),
+                member.endpoint(),
+                member.place(),
+                member.successor(),
+                member.upstreams());
+    }
+
+    private static IntentSet intents(int count) {
+        return IntentSet.of(
+                count,
+                IntStream.range(0, count)
+                        .mapToObj(number -> new Intent(
+                                "intent-" + number,
+                                Intent.Action.DRAIN,
+                                "",
+                                Selector.parse("service=service-" + number + ",rack=r" + number % 50)
+                                        .get(),
+                                "operator-" + number % 20,
+                                "replacement of a disk, ticket " + number,
+                                1,
+                                0,
+                                number))
+                        .toList());
+    }
+
+    private static AccountLimiter accounts(int count) {
+        AccountLimiter limiter = new AccountLimiter(10, 10, count);
+        IntStream.range(0, count).forEach(number -> limiter.tryAcquire(number, "account-" + number));
+        return limiter;
+    }
+
+    private static KeyLedger<byte[]> keys(int count) {
+        KeyLedger<byte[]> ledger = new KeyLedger<>("node", 1, count, 600_000);
+        IntStream.range(0, count).forEach(number -> {
+            Ticket ticket = ledger.issue();
+            ledger.open(0, ticket, "0123456789abcdef01234567");
+            ledger.finish(0, ticket, org.sardineshunt.coordination.Verdict.RAN, new byte[300]);
+        });
+        return ledger;
+    }
+
+    private static List<Candidate> candidates(int count) {
+        return IntStream.range(0, count)
+                .mapToObj(number -> new Candidate(
+                        "upstream-" + number,
+                        4,
+                        number % 9 == 0 ? Condition.UNHEALTHY : Condition.HEALTHY,
+                        number % 5,
+                        Candidate.Override.NONE,
+                        false,
+                        true))
+                .toList();
+    }
+
+    private static RouteTable routes(int count) {
+        return new RouteTable(IntStream.range(0, count)
+                .mapToObj(number -> new RouteSettings(
+                        "GET", "/s" + number, "service-" + number % 3_700, "rank", true, false, new TimeSpan(1_000)))
+                .toList());
+    }
+}
--- a/load/src/main/java/org/sardineshunt/load/Experiment.java
+++ b/load/src/main/java/org/sardineshunt/load/Experiment.java
@@ -9,6 +9,7 @@
 
 import org.sardineshunt.load.BaselineProxy.Policy;
 import org.sardineshunt.node.NodeSettings;
+import org.sardineshunt.node.NodeSettings.LimitSettings;
 
 /** Runs one scenario with the fleet and with two plain proxies, on the same arrivals. */
 final class Experiment {
@@ -33,7 +34,8 @@
     }
 
     private SystemResult runSystem(String system) {
-        NodeSettings settings = template;
+        boolean withoutSlack = system.equals("without-slack-refusal");
+        NodeSettings settings = withoutSlack ? withoutSlackRefusal(template) : template;
         try (LocalFleet fleet = LocalFleet.start(deployment, settings, own -> own)) {
             return switch (system) {
                 case "round-robin" -> runBaseline(fleet, system, Policy.ROUND_ROBIN);
@@ -43,6 +45,29 @@
         }
     }
 
+    private static NodeSettings withoutSlackRefusal(NodeSettings settings) {
+        LimitSettings limits = settings.limits();
+        return new NodeSettings(
+                settings.nodeId(),
+                settings.dataCentre(),
+                settings.region(),
+                settings.ports(),
+                settings.seeds(),
+                settings.platform(),
+                settings.ranks(),
+                settings.routes(),
+                settings.floorShare(),
+                settings.accounts(),
+                settings.timing(),
+                new LimitSettings(
+                        limits.body(),
+                        limits.frame(),
+                        limits.queuePerRank(),
+                        limits.keptKeys(),
+                        limits.claimsPerSecond(),
+                        false));
+    }
+
     private SystemResult runFleet(LocalFleet fleet, String system) {
         EjectionWatch watch = new EjectionWatch(fleet);
         LoadReport report = load(fleet, fleet.callerUrls(), watch);
--- a/load/src/main/java/org/sardineshunt/load/LoadMain.java
+++ b/load/src/main/java/org/sardineshunt/load/LoadMain.java
@@ -36,7 +36,8 @@
         CliBuilder<ProgramCommand> cli = new CliBuilder<ProgramCommand>("sardineshunt-load")
                 .withDescription("Open-loop load by rank, and experiments")
                 .withDefaultCommand(HelpCommand.class)
-                .withCommands(List.of(HelpCommand.class, RunCommand.class, ExperimentCommand.class));
+                .withCommands(
+                        List.of(HelpCommand.class, RunCommand.class, ExperimentCommand.class, CapacityCommand.class));
         System.exit(
                 CommandLine.run(cli.build(), System.out, System.err, arguments).code());
     }
@@ -171,4 +172,14 @@
             return results.get(0).report().safety().holds() ? ExitCode.OK : ExitCode.FAILED;
         }
     }
+
+    /** Measures control state at several sizes. */
+    @Command(name = "capacity", description = "Measure memory, messages and processor time of control state")
+    public static final class CapacityCommand implements ProgramCommand {
+        @Override
+        public ExitCode execute() {
+            System.out.print(new CapacityProbe().run());
+            return ExitCode.OK;
+        }
+    }
 }
--- a/node/src/main/java/org/sardineshunt/node/NodeSettings.java
+++ b/node/src/main/java/org/sardineshunt/node/NodeSettings.java
@@ -57,7 +57,7 @@
         require(floorShare >= 0 && floorShare <= 1, "floorShare", floorShare, "a share from 0 to 1");
         accounts = Objects.requireNonNullElse(accounts, new AccountSettings(1_000, 2_000, 10_000));
         timing = timing == null ? new TimingSettings(null, null, null, null, null, null, null, null) : timing;
-        limits = limits == null ? new LimitSettings(null, null, null, null, null) : limits;
+        limits = limits == null ? new LimitSettings(null, null, null, null, null, null) : limits;
         Set<String> names = new HashSet<>();
         ranks.forEach(rank -> require(names.add(rank.name()), "ranks", rank.name(), "each rank once"));
         double shares =
@@ -188,9 +188,15 @@
      * @param queuePerRank requests of one rank that may wait at one upstream
      * @param keptKeys keyed outcomes that the node keeps
      * @param claimsPerSecond transactions a second that the node may use for claims of keys
+     * @param refuseWithoutSlack whether work that can't be answered in time is refused before it waits
      */
     public record LimitSettings(
-            ByteSize body, ByteSize frame, Integer queuePerRank, Integer keptKeys, Integer claimsPerSecond) {
+            ByteSize body,
+            ByteSize frame,
+            Integer queuePerRank,
+            Integer keptKeys,
+            Integer claimsPerSecond,
+            Boolean refuseWithoutSlack) {
         /** Fills in defaults and checks the values. */
         public LimitSettings {
             body = Objects.requireNonNullElse(body, new ByteSize(1 << 20));
@@ -198,6 +204,7 @@
             queuePerRank = Objects.requireNonNullElse(queuePerRank, 128);
             keptKeys = Objects.requireNonNullElse(keptKeys, 50_000);
             claimsPerSecond = Objects.requireNonNullElse(claimsPerSecond, 30);
+            refuseWithoutSlack = Objects.requireNonNullElse(refuseWithoutSlack, true);
             require(frame.bytes() > body.bytes(), "frame", frame.text(), "more than body " + body.text());
         }
     }
--- a/node/src/main/java/org/sardineshunt/node/RotationView.java
+++ b/node/src/main/java/org/sardineshunt/node/RotationView.java
@@ -57,16 +57,11 @@
 
     /** Returns the names of all services that some node serves. */
     public List<String> services() {
-        return table.all().stream()
-                .flatMap(member -> member.upstreams().stream())
-                .map(UpstreamInfo::service)
-                .distinct()
-                .sorted()
-                .toList();
+        return table.services().stream().sorted().toList();
     }
 
     private ServiceView compute(String service) {
-        List<Located> located = table.all().stream()
+        List<Located> located = table.homes(service).stream()
                 .flatMap(member -> located(member, service))
                 .sorted(Comparator.comparing(entry -> entry.upstream().id()))
                 .toList();
--- a/node/src/main/java/org/sardineshunt/node/backendserver/GroupHealth.java
+++ b/node/src/main/java/org/sardineshunt/node/backendserver/GroupHealth.java
@@ -1,6 +1,5 @@
 package org.sardineshunt.node.backendserver;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -82,12 +81,10 @@
     }
 
     private String collector(String service) {
-        List<String> homes = new ArrayList<>(peers.table()
-                .reachable()
-                .filter(member -> member.upstreams().stream()
-                        .anyMatch(upstream -> upstream.service().equals(service)))
+        List<String> homes = peers.table().homes(service).stream()
+                .filter(Member::isReachable)
                 .map(Member::nodeId)
-                .toList());
+                .toList();
         return homes.isEmpty()
                 ? peers.selfId()
                 : Rendezvous.choose("health/" + service, homes, 1).get(0);
--- a/node/src/main/java/org/sardineshunt/node/backendserver/HomeService.java
+++ b/node/src/main/java/org/sardineshunt/node/backendserver/HomeService.java
@@ -97,12 +97,7 @@
     public long announce(Announcement announcement) {
         HomeUpstream upstream = upstreams.computeIfAbsent(announcement.id(), id -> {
             LOG.infof("upstream '%s' of service '%s' announced itself", id, announcement.service());
-            return new HomeUpstream(
-                    announcement,
-                    settings.rankList(),
-                    settings.limits().queuePerRank(),
-                    settings.timing().coldStartRamp().millis(),
-                    policy);
+            return new HomeUpstream(announcement, settings, policy);
         });
         upstream.announce(control.nowMillis(), announcement).forEach(work -> start(upstream, work));
         if (announcement.leaving()) {
--- a/node/src/main/java/org/sardineshunt/node/backendserver/HomeUpstream.java
+++ b/node/src/main/java/org/sardineshunt/node/backendserver/HomeUpstream.java
@@ -6,7 +6,6 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 
-import org.sardineshunt.coordination.Rank;
 import org.sardineshunt.coordination.health.HealthPolicy;
 import org.sardineshunt.coordination.health.UpstreamHealth;
 import org.sardineshunt.coordination.health.UpstreamHealth.Outcome;
@@ -14,6 +13,7 @@
 import org.sardineshunt.coordination.limit.HomeGate;
 import org.sardineshunt.coordination.limit.Work;
 import org.sardineshunt.coordination.membership.Member;
+import org.sardineshunt.node.NodeSettings;
 import org.sardineshunt.protocol.PeerMessages.Answer;
 import org.sardineshunt.protocol.PeerMessages.Attempt;
 
@@ -30,14 +30,15 @@
     private boolean holdsSuspect;
     private boolean paused;
 
-    HomeUpstream(Announcement announcement, List<Rank> ranks, int queueLimit, long rampMillis, HealthPolicy policy) {
+    HomeUpstream(Announcement announcement, NodeSettings settings, HealthPolicy policy) {
         this.gate = HomeGate.<PendingAttempt>builder()
-                .ranks(ranks)
+                .ranks(settings.rankList())
                 .slots(1)
-                .queueLimit(queueLimit)
+                .queueLimit(settings.limits().queuePerRank())
+                .refuseWithoutSlack(settings.limits().refuseWithoutSlack())
                 .build();
         this.health = new UpstreamHealth(policy);
-        this.rampMillis = rampMillis;
+        this.rampMillis = settings.timing().coldStartRamp().millis();
         this.announcement = announcement;
         this.ramp = new ColdStartRamp(0, rampMillis);
     }
--- a/node/src/main/java/org/sardineshunt/node/caller/CallerService.java
+++ b/node/src/main/java/org/sardineshunt/node/caller/CallerService.java
@@ -54,7 +54,7 @@
 
     private final HomeContext context;
     private final PeerCalls peers;
-    private final Routes routes;
+    private final RouteTable routes;
     private final AccountLimiter accounts;
     private final HomeChoice choice;
     private final Dispatcher dispatcher;
@@ -75,7 +75,7 @@
             Random random) {
         this.context = context;
         this.peers = peers;
-        this.routes = new Routes(context.settings().routes());
+        this.routes = new RouteTable(context.settings().routes());
         this.accounts = new AccountLimiter(
                 context.settings().accounts().requestsPerSecond(),
                 context.settings().accounts().burst(),
--- a/service-kit/src/main/java/org/sardineshunt/kit/Json.java
+++ b/service-kit/src/main/java/org/sardineshunt/kit/Json.java
@@ -7,7 +7,9 @@
 import java.util.stream.Collectors;
 
 import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonMappingException;
@@ -46,7 +48,7 @@
             T value = MAPPER.readValue(text, type);
             return value == null ? Either.left(source + ": holds no value") : Either.right(value);
         } catch (JsonProcessingException malformed) {
-            return Either.left(describe(source, malformed));
+            return Either.left(describe(source, text, malformed));
         }
     }
 
@@ -78,14 +80,34 @@
         }
     }
 
-    private static String describe(String source, JsonProcessingException malformed) {
-        JsonLocation location = malformed.getLocation();
+    private static String describe(String source, String text, JsonProcessingException malformed) {
+        JsonLocation location = malformed instanceof UnrecognizedPropertyException unknown
+                ? locate(text, unknown)
+                : malformed.getLocation();
         String place = location == null
                 ? source
                 : source + ": line " + location.getLineNr() + ", column " + location.getColumnNr();
         return place + ": " + path(malformed) + explanation(malformed);
     }
 
+    // Jackson reports unknown keys only at the end of their object.
+    private static JsonLocation locate(String text, UnrecognizedPropertyException unknown) {
+        String pointer = unknown.getPath().stream()
+                .map(step -> step.getFieldName() == null ? Integer.toString(step.getIndex()) : step.getFieldName())
+                .collect(Collectors.joining("/", "/", ""));
+        try (JsonParser parser = MAPPER.createParser(text)) {
+            while (parser.nextToken() != null) {
+                boolean key = parser.currentToken() == JsonToken.FIELD_NAME;
+                if (key && parser.getParsingContext().pathAsPointer().toString().equals(pointer)) {
+                    return parser.currentTokenLocation();
+                }
+            }
+        } catch (IOException unreadable) {
+            return unknown.getLocation();
+        }
+        return unknown.getLocation();
+    }
+
     private static String path(JsonProcessingException malformed) {
         if (!(malformed instanceof JsonMappingException mapping)
                 || mapping.getPath().isEmpty()) {
