Ask about a lost reply without breaking the link, and write the docs

Cause, seen in an experiment run beside builds on a busy machine: a call that timed out on a working link was resolved over a new link that replaced the shared one, so every other call in flight there was lost (99 lookups ended as link-lost in ten seconds). The home is now asked over the shared link, which is replaced only when it broke or went silent; the question is asked twice. It has no test of its own yet: no fake delays single frames. Links that get no hello are now closed.

HomeService is split: UpstreamPublisher tells the fleet of upstreams.

--- a/load/src/main/java/org/sardineshunt/load/LoadMain.java
+++ b/load/src/main/java/org/sardineshunt/load/LoadMain.java
@@ -176,8 +176,20 @@
     /** Measures control state at several sizes. */
     @Command(name = "capacity", description = "Measure memory, messages and processor time of control state")
     public static final class CapacityCommand implements ProgramCommand {
+        @Required
+        @Option(name = "--settings", description = "Settings of a node, for ranks and routes of the running fleets")
+        private String settingsFile;
+
         @Override
         public ExitCode execute() {
+            Either<String, NodeSettings> settings = NodeSettings.read(Path.of(settingsFile));
+            if (settings.isLeft()) {
+                System.err.println(settings.getLeft());
+                return ExitCode.SETTINGS;
+            }
+            FleetCostProbe fleets = new FleetCostProbe(settings.get());
+            System.out.print(fleets.addedLatency());
+            System.out.print(fleets.control());
             System.out.print(new CapacityProbe().run());
             return ExitCode.OK;
         }
--- a/node/src/main/java/org/sardineshunt/node/Node.java
+++ b/node/src/main/java/org/sardineshunt/node/Node.java
@@ -25,6 +25,7 @@
 import org.sardineshunt.node.peer.CrashRegister;
 import org.sardineshunt.node.peer.FleetGossip;
 import org.sardineshunt.node.peer.FrameFilter;
+import org.sardineshunt.node.peer.LinkTraffic;
 import org.sardineshunt.node.peer.MembershipService;
 import org.sardineshunt.node.peer.PeerCalls;
 import org.sardineshunt.node.peer.PeerLinks;
@@ -65,6 +66,7 @@
     private final EventLoopGroup callerLoops =
             new MultiThreadIoEventLoopGroup(CALLER_EVENT_LOOPS, NioIoHandler.newFactory());
     private final NodeMetrics metrics = new NodeMetrics();
+    private final LinkTraffic traffic = new LinkTraffic();
     private final PlatformClient platform;
     private final BackendServerClient backendServers;
     private final PeerLinks links;
@@ -92,12 +94,13 @@
         platform = new PlatformClient(settings.platform(), PLATFORM_TIMEOUT);
         backendServers = new BackendServerClient(settings.limits().body().bytes());
         links = new PeerLinks(
-                eventLoops, hello, maxFrame, settings.timing().linkSilence().millis(), filter);
+                eventLoops, hello, maxFrame, settings.timing().linkSilence().millis(), filter, traffic);
         AtomicReference<PeerServer.RequestHandler> peerHandler = new AtomicReference<>();
         peerServer = new PeerServer(
                 hello,
                 maxFrame,
                 filter,
+                traffic,
                 (node, request) -> peerHandler.get().handle(node, request),
                 metrics::violation);
         int peerPort = peerServer.listen(
@@ -158,6 +161,11 @@
         return membership.self().endpoint().peerPort();
     }
 
+    /** Returns what the node has sent over its peer links. */
+    public LinkTraffic traffic() {
+        return traffic;
+    }
+
     /** Returns a future that completes when the node serves callers for the first time. */
     public CompletableFuture<Void> joined() {
         return joined;
--- a/node/src/main/java/org/sardineshunt/node/backendserver/HomeService.java
+++ b/node/src/main/java/org/sardineshunt/node/backendserver/HomeService.java
@@ -10,12 +10,9 @@
 import org.jboss.logging.Logger;
 import org.sardineshunt.coordination.Reason;
 import org.sardineshunt.coordination.Verdict;
-import org.sardineshunt.coordination.health.Baseline;
 import org.sardineshunt.coordination.health.HealthPolicy;
 import org.sardineshunt.coordination.health.UpstreamHealth.Outcome;
-import org.sardineshunt.coordination.intent.Intent;
 import org.sardineshunt.coordination.limit.Work;
-import org.sardineshunt.coordination.membership.UpstreamInfo;
 import org.sardineshunt.coordination.once.AttemptLedger;
 import org.sardineshunt.coordination.once.AttemptLedger.Abandonment;
 import org.sardineshunt.coordination.rotation.Condition;
@@ -38,8 +35,6 @@
 import org.sardineshunt.protocol.PeerMessages.HealthReport;
 import org.sardineshunt.protocol.PeerMessages.HomeLoad;
 import org.sardineshunt.protocol.PeerMessages.RequestContent;
-import org.sardineshunt.protocol.PeerMessages.ServiceBaseline;
-import org.sardineshunt.protocol.PeerMessages.UpstreamSample;
 
 /**
  * The home of the upstreams that announce themselves here: only this class hands work to them. Belongs to the control
@@ -56,11 +51,11 @@
     private final NodeSettings settings;
     private final NodeMetrics metrics;
     private final MembershipService membership;
-    private final ConfigurationService configuration;
     private final RotationView rotations;
     private final CrashRegister crashes;
     private final BackendServerClient client;
     private final GroupHealth groupHealth;
+    private final UpstreamPublisher publisher;
     private final HealthPolicy policy = HealthPolicy.builder().build();
     private final Map<String, HomeUpstream> upstreams = new TreeMap<>();
     private final AttemptLedger<Answer> attempts = new AttemptLedger<>(ANSWER_RETENTION_MILLIS);
@@ -80,17 +75,18 @@
         this.metrics = context.metrics();
         this.crashes = context.crashes();
         this.membership = membership;
-        this.configuration = configuration;
         this.rotations = rotations;
         this.client = client;
         this.groupHealth = new GroupHealth(control, peers);
+        this.publisher = new UpstreamPublisher(control, membership, configuration, groupHealth, upstreams.values());
+        configuration.onChange(publisher::publish);
     }
 
     /** Starts the timers. */
     public void start() {
         control.every(TICK_MILLIS, this::tick);
-        control.every(REPORT_MILLIS, this::report);
-        configuration.onChange(this::publish);
+        control.every(REPORT_MILLIS, this::expire);
+        control.every(REPORT_MILLIS, publisher::report);
     }
 
     /** Takes over an announcement; returns how long it counts, in milliseconds. */
@@ -103,7 +99,7 @@
         if (announcement.leaving()) {
             refuseWaiting(upstream, Reason.DRAINING);
         }
-        publish();
+        publisher.publish();
         return settings.timing().announcementLease().millis();
     }
 
@@ -274,7 +270,7 @@
                     "upstream '%s' is unhealthy, severity %d",
                     upstreamId, upstream.health().severity());
             metrics.ejected(upstreamId);
-            publish();
+            publisher.publish();
         }
         work.payload().answer().complete(complete);
         next.forEach(waiting -> start(upstream, waiting));
@@ -326,6 +322,11 @@
         upstream.gate().removeAll().forEach(work -> complete(work, Verdict.NOT_RUN, reason));
     }
 
+    private void expire() {
+        attempts.expire(control.nowMillis());
+        crashes.expire();
+    }
+
     private void tick() {
         long now = control.nowMillis();
         long lease = settings.timing().announcementLease().millis();
@@ -344,70 +345,7 @@
             refuseWaiting(upstream, Reason.NO_UPSTREAM);
             upstreams.remove(upstream.announcement().id());
         });
-        publish();
-    }
-
-    private void report() {
-        attempts.expire(control.nowMillis());
-        crashes.expire();
-        List<UpstreamSample> samples = upstreams.values().stream()
-                .map(upstream -> {
-                    Baseline.Sample sample = upstream.health().sample();
-                    return UpstreamSample.newBuilder()
-                            .setUpstreamId(upstream.announcement().id())
-                            .setService(upstream.announcement().service())
-                            .setRequests(sample.requests())
-                            .setFailures(sample.failures())
-                            .setMedianLatencyMicros(Math.round(sample.medianLatencyMillis() * 1_000))
-                            .build();
-                })
-                .toList();
-        groupHealth.report(samples, this::adoptBaseline);
-    }
-
-    private void adoptBaseline(ServiceBaseline usual) {
-        Baseline baseline =
-                new Baseline(usual.getFailureShare(), usual.getMedianLatencyMicros() / 1_000.0, usual.getUpstreams());
-        upstreams.values().stream()
-                .filter(upstream -> upstream.announcement().service().equals(usual.getService()))
-                .forEach(upstream -> upstream.health().baseline(baseline));
-    }
-
-    private void publish() {
-        long now = control.nowMillis();
-        List<UpstreamInfo> infos =
-                upstreams.values().stream().map(upstream -> info(upstream, now)).toList();
-        membership.publishUpstreams(infos);
-        upstreams.values().forEach(upstream -> upstream.gate().urgentRank(urgentRank(upstream)));
-    }
-
-    private String urgentRank(HomeUpstream upstream) {
-        return configuration
-                .intents()
-                .forService(Intent.Action.URGENT, upstream.announcement().service(), System.currentTimeMillis())
-                .map(Intent::argument)
-                .getOrElse("");
-    }
-
-    private UpstreamInfo info(HomeUpstream upstream, long now) {
-        Announcement announcement = upstream.announcement();
-        Condition condition = upstream.health().condition(now);
-        List<String> intentIds =
-                configuration
-                        .intents()
-                        .selecting(upstream.labels(membership.self()), System.currentTimeMillis())
-                        .stream()
-                        .map(Intent::id)
-                        .sorted()
-                        .toList();
-        return new UpstreamInfo(
-                announcement.id(),
-                announcement.service(),
-                announcement.state().equals("starting") ? 0 : announcement.slots(),
-                condition,
-                condition == Condition.HEALTHY ? 0 : upstream.health().severity(),
-                intentIds,
-                announcement.leaving());
+        publisher.publish();
     }
 
     /**
--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/backendserver/UpstreamPublisher.java
@@ -0,0 +1,104 @@
+package org.sardineshunt.node.backendserver;
+
+import java.util.Collection;
+import java.util.List;
+
+import org.sardineshunt.coordination.health.Baseline;
+import org.sardineshunt.coordination.intent.Intent;
+import org.sardineshunt.coordination.membership.UpstreamInfo;
+import org.sardineshunt.coordination.rotation.Condition;
+import org.sardineshunt.node.ControlThread;
+import org.sardineshunt.node.peer.MembershipService;
+import org.sardineshunt.node.platform.ConfigurationService;
+import org.sardineshunt.protocol.PeerMessages.ServiceBaseline;
+import org.sardineshunt.protocol.PeerMessages.UpstreamSample;
+
+/** Tells the fleet of this node's upstreams: their state to all nodes, their work to the group of their service. */
+final class UpstreamPublisher {
+    private final ControlThread control;
+    private final MembershipService membership;
+    private final ConfigurationService configuration;
+    private final GroupHealth groupHealth;
+    private final Collection<HomeUpstream> upstreams;
+
+    /**
+     * Creates a publisher.
+     *
+     * @param upstreams live view of the home's upstreams
+     */
+    UpstreamPublisher(
+            ControlThread control,
+            MembershipService membership,
+            ConfigurationService configuration,
+            GroupHealth groupHealth,
+            Collection<HomeUpstream> upstreams) {
+        this.control = control;
+        this.membership = membership;
+        this.configuration = configuration;
+        this.groupHealth = groupHealth;
+        this.upstreams = upstreams;
+    }
+
+    /** Publishes what this node serves, and applies the intents in force to it. */
+    void publish() {
+        long now = control.nowMillis();
+        List<UpstreamInfo> infos =
+                upstreams.stream().map(upstream -> info(upstream, now)).toList();
+        membership.publishUpstreams(infos);
+        upstreams.forEach(upstream -> upstream.gate().urgentRank(urgentRank(upstream)));
+    }
+
+    /** Compares recent work with the group of each service and adopts what is usual there. */
+    void report() {
+        List<UpstreamSample> samples = upstreams.stream()
+                .map(upstream -> {
+                    Baseline.Sample sample = upstream.health().sample();
+                    return UpstreamSample.newBuilder()
+                            .setUpstreamId(upstream.announcement().id())
+                            .setService(upstream.announcement().service())
+                            .setRequests(sample.requests())
+                            .setFailures(sample.failures())
+                            .setMedianLatencyMicros(Math.round(sample.medianLatencyMillis() * 1_000))
+                            .build();
+                })
+                .toList();
+        groupHealth.report(samples, this::adoptBaseline);
+    }
+
+    private void adoptBaseline(ServiceBaseline usual) {
+        Baseline baseline =
+                new Baseline(usual.getFailureShare(), usual.getMedianLatencyMicros() / 1_000.0, usual.getUpstreams());
+        upstreams.stream()
+                .filter(upstream -> upstream.announcement().service().equals(usual.getService()))
+                .forEach(upstream -> upstream.health().baseline(baseline));
+    }
+
+    private String urgentRank(HomeUpstream upstream) {
+        return configuration
+                .intents()
+                .forService(Intent.Action.URGENT, upstream.announcement().service(), System.currentTimeMillis())
+                .map(Intent::argument)
+                .getOrElse("");
+    }
+
+    private UpstreamInfo info(HomeUpstream upstream, long now) {
+        Announcement announcement = upstream.announcement();
+        Condition condition = upstream.health().condition(now);
+        List<String> intentIds =
+                configuration
+                        .intents()
+                        .selecting(upstream.labels(membership.self()), System.currentTimeMillis())
+                        .stream()
+                        .map(Intent::id)
+                        .sorted()
+                        .toList();
+        return new UpstreamInfo(
+                announcement.id(),
+                announcement.service(),
+                announcement.state().equals("starting") ? 0 : announcement.slots(),
+                condition,
+                condition == Condition.HEALTHY ? 0 : upstream.health().severity(),
+                intentIds,
+                announcement.leaving());
+    }
+}
--- a/node/src/main/java/org/sardineshunt/node/caller/Dispatcher.java
+++ b/node/src/main/java/org/sardineshunt/node/caller/Dispatcher.java
@@ -32,7 +32,7 @@
  * Brings a request to home nodes until it is answered, may have run, or runs out of attempts or time. Belongs to the
  * control thread.
  *
- * <p>When a link is lost the home is asked over a new connection to abandon the attempt: its reply says whether the
+ * <p>When a reply is lost the home is asked, over a new connection if the link broke, to abandon the attempt: its reply says whether the
  * attempt never runs, still runs, or what its answer was.
  */
 final class Dispatcher {
@@ -221,9 +221,18 @@
         }
     }
 
-    /** Asks the home over a new connection what became of an attempt whose reply was lost. */
+    /** Asks the home what became of an attempt whose reply was lost; a broken link has been replaced by then. */
     private CompletableFuture<Answer> resolve(
             Flow flow, HomeChoice.Choice chosen, String attemptId, LinkFailure failure, Answer unresolved) {
+        return ask(flow, chosen, attemptId, failure)
+                .thenCompose(first -> first.isRight() ? done(first) : ask(flow, chosen, attemptId, failure))
+                .thenCompose(result -> result.fold(
+                        lost -> CompletableFuture.completedFuture(unresolved),
+                        reply -> resolution(flow, chosen, attemptId, failure, unresolved, reply.getAbandonReply())));
+    }
+
+    private CompletableFuture<Either<LinkFailure, Envelope>> ask(
+            Flow flow, HomeChoice.Choice chosen, String attemptId, LinkFailure failure) {
         long left = flow.deadlineMillis - control.nowMillis();
         Envelope message = Envelope.newBuilder()
                 .setAbandon(Abandon.newBuilder()
@@ -231,11 +240,11 @@
                         .setHomeIncarnation(failure.incarnation())
                         .setRememberMillis(Math.max(0, left) + ABANDON_TIMEOUT_MILLIS * 10))
                 .build();
-        return peers.callOnNewLink(chosen.home(), message, ABANDON_TIMEOUT_MILLIS)
-                .thenApply(result -> result.fold(
-                        lost -> CompletableFuture.completedFuture(unresolved),
-                        reply -> resolution(flow, chosen, attemptId, failure, unresolved, reply.getAbandonReply())))
-                .thenCompose(result -> result);
+        return peers.call(chosen.home(), message, ABANDON_TIMEOUT_MILLIS);
+    }
+
+    private static <T> CompletableFuture<T> done(T value) {
+        return CompletableFuture.completedFuture(value);
     }
 
     private CompletableFuture<Answer> resolution(
--- a/node/src/main/java/org/sardineshunt/node/peer/PeerCalls.java
+++ b/node/src/main/java/org/sardineshunt/node/peer/PeerCalls.java
@@ -36,17 +36,11 @@
         return membership.self();
     }
 
-    /** Calls a member over the shared link. */
+    /** Calls a member over the shared link; a link that broke or went silent is replaced by a new one. */
     public CompletableFuture<Either<LinkFailure, Envelope>> call(Member member, Envelope message, long timeoutMillis) {
         return onControl(links.call(member.nodeId(), member.endpoint(), message, timeoutMillis));
     }
 
-    /** Calls a member over a new connection. */
-    public CompletableFuture<Either<LinkFailure, Envelope>> callOnNewLink(
-            Member member, Envelope message, long timeoutMillis) {
-        return onControl(links.callOnNewLink(member.nodeId(), member.endpoint(), message, timeoutMillis));
-    }
-
     private CompletableFuture<Either<LinkFailure, Envelope>> onControl(CompletableFuture<PeerLink.Reply> call) {
         CompletableFuture<Either<LinkFailure, Envelope>> result = new CompletableFuture<>();
         call.whenComplete((reply, failure) -> control.execute(() -> {
--- a/node/src/main/java/org/sardineshunt/node/peer/PeerLink.java
+++ b/node/src/main/java/org/sardineshunt/node/peer/PeerLink.java
@@ -28,6 +28,7 @@
     private final Hello ownHello;
     private final long silenceMillis;
     private final FrameFilter filter;
+    private final LinkTraffic traffic;
     private final Map<Long, CompletableFuture<Reply>> calls = new HashMap<>();
     private final CompletableFuture<PeerLink> ready = new CompletableFuture<>();
     private Channel channel;
@@ -36,11 +37,12 @@
     private long lastReceivedNanos;
     private long lastCallNanos;
 
-    PeerLink(String remoteNodeId, Hello ownHello, long silenceMillis, FrameFilter filter) {
+    PeerLink(String remoteNodeId, Hello ownHello, long silenceMillis, FrameFilter filter, LinkTraffic traffic) {
         this.remoteNodeId = remoteNodeId;
         this.ownHello = ownHello;
         this.silenceMillis = silenceMillis;
         this.filter = filter;
+        this.traffic = traffic;
     }
 
     /** Completes when the other end has said hello. */
@@ -148,6 +150,7 @@
 
     private void write(Envelope envelope) {
         if (filter.passes(remoteNodeId)) {
+            traffic.sent(envelope);
             channel.writeAndFlush(envelope);
         }
     }
--- a/node/src/main/java/org/sardineshunt/node/peer/PeerLinks.java
+++ b/node/src/main/java/org/sardineshunt/node/peer/PeerLinks.java
@@ -26,6 +26,7 @@
     private final int maxFrameBytes;
     private final long silenceMillis;
     private final FrameFilter filter;
+    private final LinkTraffic traffic;
     private final Map<Endpoint, PeerLink> links = new ConcurrentHashMap<>();
 
     /**
@@ -35,12 +36,18 @@
      * @param silenceMillis silence after which a link is replaced
      */
     public PeerLinks(
-            EventLoopGroup eventLoops, Hello ownHello, int maxFrameBytes, long silenceMillis, FrameFilter filter) {
+            EventLoopGroup eventLoops,
+            Hello ownHello,
+            int maxFrameBytes,
+            long silenceMillis,
+            FrameFilter filter,
+            LinkTraffic traffic) {
         this.eventLoops = eventLoops;
         this.ownHello = ownHello;
         this.maxFrameBytes = maxFrameBytes;
         this.silenceMillis = silenceMillis;
         this.filter = filter;
+        this.traffic = traffic;
     }
 
     /**
@@ -56,17 +63,6 @@
         return callWhenReady(link, endpoint, message, timeoutMillis);
     }
 
-    /** Calls a node over a new connection, which replaces the shared link. */
-    CompletableFuture<PeerLink.Reply> callOnNewLink(
-            String remoteNodeId, Endpoint endpoint, Envelope message, long timeoutMillis) {
-        PeerLink link = open(remoteNodeId, endpoint);
-        PeerLink replaced = links.put(endpoint, link);
-        if (replaced != null && replaced.isOpen()) {
-            replaced.close();
-        }
-        return callWhenReady(link, endpoint, message, timeoutMillis);
-    }
-
     /** Returns how many links are open. */
     public int open() {
         return (int) links.values().stream().filter(PeerLink::isOpen).count();
@@ -93,7 +89,7 @@
     }
 
     private PeerLink open(String remoteNodeId, Endpoint endpoint) {
-        PeerLink link = new PeerLink(remoteNodeId, ownHello, silenceMillis, filter);
+        PeerLink link = new PeerLink(remoteNodeId, ownHello, silenceMillis, filter, traffic);
         Bootstrap bootstrap = new Bootstrap()
                 .group(eventLoops)
                 .channel(NioSocketChannel.class)
@@ -111,13 +107,16 @@
                 link.ready().completeExceptionally(notSent(connected.cause().getMessage()));
             }
         });
-        eventLoops.schedule(
-                () -> link.ready().completeExceptionally(notSent("no hello from " + endpoint)),
-                2 * CONNECT_TIMEOUT_MILLIS,
-                TimeUnit.MILLISECONDS);
+        eventLoops.schedule(() -> giveUp(link, endpoint), 2 * CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         return link;
     }
 
+    private static void giveUp(PeerLink link, Endpoint endpoint) {
+        if (link.ready().completeExceptionally(notSent("no hello from " + endpoint))) {
+            link.close();
+        }
+    }
+
     private static LinkFailure notSent(String message) {
         return new LinkFailure(Kind.NOT_SENT, 0, message);
     }
--- a/node/src/main/java/org/sardineshunt/node/peer/PeerServer.java
+++ b/node/src/main/java/org/sardineshunt/node/peer/PeerServer.java
@@ -27,6 +27,7 @@
     private final Hello ownHello;
     private final int maxFrameBytes;
     private final FrameFilter filter;
+    private final LinkTraffic traffic;
     private final RequestHandler handler;
     private final Consumer<String> onViolation;
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
@@ -41,11 +42,13 @@
             Hello ownHello,
             int maxFrameBytes,
             FrameFilter filter,
+            LinkTraffic traffic,
             RequestHandler handler,
             Consumer<String> onViolation) {
         this.ownHello = ownHello;
         this.maxFrameBytes = maxFrameBytes;
         this.filter = filter;
+        this.traffic = traffic;
         this.handler = handler;
         this.onViolation = onViolation;
     }
@@ -136,6 +139,7 @@
 
         private void write(ChannelHandlerContext context, Envelope envelope) {
             if (remoteNodeId == null || filter.passes(remoteNodeId)) {
+                traffic.sent(envelope);
                 context.writeAndFlush(envelope);
             }
         }
