--- /dev/null
+++ b/node/src/main/java/org/sardineshunt/node/FailureLog.java
@@ -0,0 +1,46 @@
+package org.sardineshunt.node;
+
+import org.jboss.logging.Logger;
+import org.jboss.logging.MDC;
+import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.protocol.PeerMessages.RequestContent;
+
+/**
+ * Logs failed attempts and requests with their ids, at most some lines a second so that a flood of refusals doesn't
+ * become a flood of logs; the counters have them all. Belongs to the control thread.
+ */
+public final class FailureLog {
+    private static final Logger LOG = Logger.getLogger(FailureLog.class);
+    private static final int LINES_PER_SECOND = 20;
+
+    private final ControlThread control;
+    private long second;
+    private int lines;
+
+    /** Creates a log. */
+    public FailureLog(ControlThread control) {
+        this.control = control;
+    }
+
+    /**
+     * Logs a failure.
+     *
+     * @param attemptId the attempt, or an empty text if the request as a whole failed
+     */
+    public void failed(RequestContent content, String attemptId, Verdict verdict, String reason, String detail) {
+        long now = control.nowMillis() / 1_000;
+        lines = now == second ? lines + 1 : 1;
+        second = now;
+        if (lines > LINES_PER_SECOND) {
+            return;
+        }
+        MDC.put("request", content.getRequestId());
+        MDC.put("attempt", attemptId);
+        MDC.put("service", content.getService());
+        MDC.put("rank", content.getRank());
+        MDC.put("verdict", verdict.label());
+        MDC.put("reason", reason);
+        LOG.info(detail);
+        MDC.clear();
+    }
+}
--- a/node/src/main/java/org/sardineshunt/node/Node.java
+++ b/node/src/main/java/org/sardineshunt/node/Node.java
@@ -78,6 +78,7 @@
     private final HomeService home;
     private final CallerService callers;
     private final CompletableFuture<Void> joined = new CompletableFuture<>();
+    private final CompletableFuture<Void> warmedUp = new CompletableFuture<>();
     private volatile boolean ready;
 
     private Node(NodeSettings settings, FrameFilter filter) {
@@ -253,17 +254,27 @@
         membership.start();
         home.start();
         control.every(settings.timing().pollPeriod().millis(), this::pollIfChosen);
+        warmUp();
         PauseDetector pauses = new PauseDetector(LONGEST_GAP_MILLIS);
         control.every(PAUSE_TICK_MILLIS, () -> noticePause(pauses));
         join();
     }
 
+    private void warmUp() {
+        new WarmUp(backendServers, settings.ports().host())
+                .run(callerPort(), operatorPort(), membership::syncWithSelf)
+                .whenComplete((done, failure) -> warmedUp.complete(null));
+    }
+
     private void join() {
         CompletableFuture<?>[] sources = java.util.stream.Stream.concat(
                         settings.seeds().stream().map(seed -> membership.syncWith("", endpoint(seed))),
                         java.util.stream.Stream.of(configuration.load()))
                 .toArray(CompletableFuture<?>[]::new);
-        CompletableFuture.allOf(sources).whenCompleteAsync((done, failure) -> becomeReady(), control);
+        CompletableFuture.allOf(sources)
+                .handle((done, failure) -> null)
+                .thenCompose(done -> warmedUp)
+                .thenRunAsync(this::becomeReady, control);
     }
 
     private void becomeReady() {
--- a/node/src/main/java/org/sardineshunt/node/caller/CallerService.java
+++ b/node/src/main/java/org/sardineshunt/node/caller/CallerService.java
@@ -8,8 +8,6 @@
 import java.util.concurrent.CompletionStage;
 
 import io.vavr.control.Option;
-import org.jboss.logging.Logger;
-import org.jboss.logging.MDC;
 import org.sardineshunt.coordination.Reason;
 import org.sardineshunt.coordination.Verdict;
 import org.sardineshunt.coordination.limit.AccountLimiter;
@@ -17,6 +15,7 @@
 import org.sardineshunt.kit.HttpReply;
 import org.sardineshunt.kit.Json;
 import org.sardineshunt.node.Answers;
+import org.sardineshunt.node.FailureLog;
 import org.sardineshunt.node.NodeSettings.RouteSettings;
 import org.sardineshunt.node.RotationView;
 import org.sardineshunt.node.backendserver.HomeService;
@@ -45,10 +44,11 @@
     /** Header with the client account of a request. */
     public static final String ACCOUNT_HEADER = "Sardineshunt-Account";
 
+    /** Path by which a starting node calls itself. */
+    public static final String WARM_UP_PATH = "/sardineshunt/warm-up";
     /** Path that issues tickets to a POST. */
     public static final String TICKETS_PATH = "/sardineshunt/tickets";
 
-    private static final Logger LOG = Logger.getLogger(CallerService.class);
     private static final String ANONYMOUS = "anonymous";
     private static final int LONGEST_KEY = 200;
 
@@ -59,6 +59,7 @@
     private final HomeChoice choice;
     private final Dispatcher dispatcher;
     private final KeyService keys;
+    private final FailureLog failures;
     private long lastRequest;
     private boolean ready;
     private boolean closing;
@@ -75,6 +76,7 @@
             Random random) {
         this.context = context;
         this.peers = peers;
+        this.failures = new FailureLog(context.control());
         this.routes = new RouteTable(context.settings().routes());
         this.accounts = new AccountLimiter(
                 context.settings().accounts().requestsPerSecond(),
@@ -96,6 +98,9 @@
         if (call.method().equals("POST") && call.path().equals(TICKETS_PATH)) {
             return issueTicket();
         }
+        if (call.path().equals(WARM_UP_PATH)) {
+            return context.control().ask(() -> HttpReply.text(200, "text/plain", "warm\n"));
+        }
         CompletableFuture<HttpReply> result = new CompletableFuture<>();
         long startedNanos = System.nanoTime();
         context.control().execute(() -> accept(call, startedNanos, result));
@@ -159,7 +164,9 @@
             String rank = route.map(RouteSettings::rank).getOrElse("none");
             double seconds = (System.nanoTime() - startedNanos) / 1e9;
             context.metrics().answered(rank, Answers.verdict(ended).label(), Answers.reason(ended), seconds);
-            log(call, requestId, rank, ended);
+            if (Answers.verdict(ended) != Verdict.RAN) {
+                log(requestId, route, ended);
+            }
             result.complete(reply(call, requestId, ended));
         });
     }
@@ -263,16 +270,13 @@
         return new HttpReply(answer.getStatus(), headers, body);
     }
 
-    private void log(HttpCall call, String requestId, String rank, Answer answer) {
-        if (!LOG.isInfoEnabled() || Answers.verdict(answer) == Verdict.RAN) {
-            return;
-        }
-        MDC.put("request", requestId);
-        MDC.put("rank", rank);
-        MDC.put("verdict", Answers.verdict(answer).label());
-        MDC.put("reason", answer.getReason());
-        LOG.debugf("%s %s failed: %s", call.method(), call.path(), answer.getDetail());
-        MDC.clear();
+    private void log(String requestId, Option<RouteSettings> route, Answer answer) {
+        RequestContent content = RequestContent.newBuilder()
+                .setRequestId(requestId)
+                .setService(route.map(RouteSettings::service).getOrElse(""))
+                .setRank(route.map(RouteSettings::rank).getOrElse(""))
+                .build();
+        failures.failed(content, "", Answers.verdict(answer), answer.getReason(), answer.getDetail());
     }
 
     private String nextRequestId() {
--- a/node/src/main/java/org/sardineshunt/node/caller/Dispatcher.java
+++ b/node/src/main/java/org/sardineshunt/node/caller/Dispatcher.java
@@ -9,13 +9,13 @@
 
 import io.vavr.control.Either;
 import org.jboss.logging.Logger;
-import org.jboss.logging.MDC;
 import org.sardineshunt.coordination.Reason;
 import org.sardineshunt.coordination.Verdict;
 import org.sardineshunt.coordination.retry.RetryBudget;
 import org.sardineshunt.coordination.retry.RetryPolicy;
 import org.sardineshunt.node.Answers;
 import org.sardineshunt.node.ControlThread;
+import org.sardineshunt.node.FailureLog;
 import org.sardineshunt.node.NodeMetrics;
 import org.sardineshunt.node.backendserver.HomeService;
 import org.sardineshunt.node.peer.CrashRegister;
@@ -52,6 +52,7 @@
     private final HomeChoice choice;
     private final CrashRegister crashes;
     private final NodeMetrics metrics;
+    private final FailureLog failures;
     private final RetryPolicy policy = new RetryPolicy(MOST_ATTEMPTS, MINIMUM_LEFT_MILLIS);
     private final Map<String, RetryBudget> budgets = new HashMap<>();
     private int inFlight;
@@ -69,6 +70,7 @@
         this.choice = choice;
         this.crashes = crashes;
         this.metrics = metrics;
+        this.failures = new FailureLog(control);
     }
 
     /** Dispatches a request; the future never fails. */
@@ -176,7 +178,12 @@
         flow.tried.add(nodeId);
         flow.lastReason = reason;
         flow.verdictSoFar = flow.verdictSoFar == Verdict.NOT_RUN ? verdict : flow.verdictSoFar;
-        logFailure(flow, failure);
+        failures.failed(
+                flow.content,
+                flow.content.getRequestId() + '.' + flow.attempts,
+                verdict,
+                failure.getReason(),
+                failure.getDetail());
         long left = flow.deadlineMillis - control.nowMillis();
         policy.next(
                         new RetryPolicy.Failure(flow.attempts, verdict, reason),
@@ -273,17 +280,6 @@
         }
     }
 
-    private void logFailure(Flow flow, Answer failure) {
-        MDC.put("request", flow.content.getRequestId());
-        MDC.put("attempt", flow.content.getRequestId() + '.' + flow.attempts);
-        MDC.put("service", flow.content.getService());
-        MDC.put("rank", flow.content.getRank());
-        MDC.put("verdict", Answers.verdict(failure).label());
-        MDC.put("reason", failure.getReason());
-        LOG.debugf("attempt failed: %s", failure.getDetail());
-        MDC.clear();
-    }
-
     // Each rank has its own budget, so that a flood of one does not use up the retries of another.
     private RetryBudget budget(RequestContent content) {
         return budgets.computeIfAbsent(
--- a/node/src/main/java/org/sardineshunt/node/peer/MembershipService.java
+++ b/node/src/main/java/org/sardineshunt/node/peer/MembershipService.java
@@ -154,6 +154,11 @@
                 .exceptionally(failure -> false);
     }
 
+    /** Exchanges tables with this node itself over a real link, which changes nothing. */
+    public CompletableFuture<Boolean> syncWithSelf() {
+        return syncWith(self.nodeId(), self.endpoint());
+    }
+
     /** Answers a probe of another node. */
     public Envelope.Builder answerPing(String remoteNodeId, Ping ping) {
         acceptGossip(remoteNodeId, ping.getGossip());
--- a/node/src/main/java/org/sardineshunt/node/peer/MessageCodec.java
+++ b/node/src/main/java/org/sardineshunt/node/peer/MessageCodec.java
@@ -20,7 +20,11 @@
 import org.sardineshunt.protocol.PeerMessages.SelectorTerm;
 import org.sardineshunt.protocol.PeerMessages.UpstreamSummary;
 
-/** Converts between messages of peer links and the types of the coordination library. */
+/**
+ * Converts between messages of peer links and the types of the coordination library.
+ *
+ * <p>Names that stand in many records, such as those of services, are kept once.
+ */
 public final class MessageCodec {
     private MessageCodec() {}
 
@@ -49,7 +53,8 @@
                 record.getVersion(),
                 Member.State.ofOrdinal(record.getState()),
                 new Member.Endpoint(record.getHost(), record.getPeerPort(), record.getOperatorPort()),
-                new Member.Place(record.getDataCentre(), record.getRegion()),
+                new Member.Place(
+                        record.getDataCentre().intern(), record.getRegion().intern()),
                 record.getSuccessor(),
                 record.getUpstreamsList().stream().map(MessageCodec::decode).toList());
     }
@@ -142,7 +147,7 @@
     private static UpstreamInfo decode(UpstreamSummary summary) {
         return new UpstreamInfo(
                 summary.getUpstreamId(),
-                summary.getService(),
+                summary.getService().intern(),
                 summary.getSlots(),
                 Condition.ofOrdinal(summary.getCondition()),
                 summary.getSeverity(),
