--- /dev/null
+++ b/coordination/src/main/java/org/sardineshunt/coordination/placement/HomeView.java
@@ -0,0 +1,17 @@
+package org.sardineshunt.coordination.placement;
+
+import org.sardineshunt.coordination.rotation.Condition;
+
+/**
+ * What an entry knows of one home of a service. Immutable and thread-safe.
+ *
+ * @param nodeId name of the home
+ * @param near whether it is in the entry's data centre
+ * @param slots requests that its upstream runs at once
+ * @param busy requests that run or wait there, with those that the entry sent since the last report
+ * @param serviceMillis mean time that a request takes there; 0 when unknown
+ * @param condition health of its upstream
+ * @param avoided whether it failed or refused work a moment ago
+ */
+public record HomeView(
+        String nodeId, boolean near, int slots, int busy, double serviceMillis, Condition condition, boolean avoided) {}
--- /dev/null
+++ b/coordination/src/main/java/org/sardineshunt/coordination/placement/PlacementPolicy.java
@@ -0,0 +1,120 @@
+package org.sardineshunt.coordination.placement;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+import java.util.stream.Collectors;
+
+import org.sardineshunt.coordination.rotation.Candidate;
+import org.sardineshunt.coordination.rotation.Condition;
+import org.sardineshunt.coordination.rotation.Placement;
+import org.sardineshunt.coordination.rotation.Rotation;
+
+/**
+ * Chooses the home of the next attempt: the least expected time until the answer, in the own data centre while it has
+ * room there.
+ *
+ * <pre>{@code
+ * PlacementPolicy policy = new PlacementPolicy(Rotation.builder().floorShare(0.7).build(), 150, 0.05);
+ * Optional<PlacementPolicy.Choice> choice = policy.choose(homes, tried, request, random::nextDouble);
+ * }</pre>
+ *
+ * <p>Unhealthy homes are left out down to the rotation's floor. A home on trial receives a trickle of idempotent work.
+ * Immutable and thread-safe.
+ */
+public final class PlacementPolicy {
+    private static final double UNKNOWN_SERVICE_MILLIS = 200;
+
+    // Among homes with a free slot the emptier one is preferred: a report of its load may be out of date.
+    private static final double LOAD_WEIGHT = 0.2;
+
+    private final Rotation rotation;
+    private final double farCostMillis;
+    private final double trialShare;
+
+    /**
+     * Creates a policy.
+     *
+     * @param rotation decides which homes may be used at all
+     * @param farCostMillis expected wait for which work is rather kept in the own data centre
+     * @param trialShare part of the idempotent work that is offered to homes on trial
+     */
+    public PlacementPolicy(Rotation rotation, double farCostMillis, double trialShare) {
+        this.rotation = rotation;
+        this.farCostMillis = farCostMillis;
+        this.trialShare = trialShare;
+    }
+
+    /**
+     * Returns the home for an attempt; empty if no home of the service is left.
+     *
+     * @param homes all known homes of the service that aren't leaving
+     * @param tried homes that have had this request already
+     * @param random source of numbers from 0 to below 1
+     */
+    public Optional<Choice> choose(
+            Collection<HomeView> homes, Set<String> tried, boolean idempotent, DoubleSupplier random) {
+        Set<String> inUse = inUse(homes);
+        List<HomeView> left =
+                homes.stream().filter(home -> !tried.contains(home.nodeId())).toList();
+        List<HomeView> onTrial = left.stream()
+                .filter(home -> home.condition() == Condition.TRIAL && home.busy() == 0 && !home.avoided())
+                .toList();
+        if (idempotent && tried.isEmpty() && !onTrial.isEmpty() && random.getAsDouble() < trialShare) {
+            return Optional.of(new Choice(onTrial.get(0).nodeId(), true));
+        }
+        return best(left.stream().filter(home -> inUse.contains(home.nodeId())).toList(), random)
+                .map(home -> new Choice(home.nodeId(), home.condition() != Condition.HEALTHY));
+    }
+
+    /** Returns the expected time until a new request at this home is answered, in milliseconds. */
+    public static double expectedMillis(HomeView home) {
+        double service = home.serviceMillis() > 0 ? home.serviceMillis() : UNKNOWN_SERVICE_MILLIS;
+        int slots = Math.max(1, home.slots());
+        int ahead = Math.max(0, home.busy() + 1 - slots);
+        return service + ahead * service / slots;
+    }
+
+    private Set<String> inUse(Collection<HomeView> homes) {
+        List<Candidate> candidates = homes.stream()
+                .map(home -> new Candidate(
+                        home.nodeId(),
+                        Math.max(1, home.slots()),
+                        home.condition(),
+                        0,
+                        Candidate.Override.NONE,
+                        false,
+                        true))
+                .toList();
+        return rotation.place(candidates).values().stream()
+                .filter(placement -> placement.use() == Placement.Use.FULL)
+                .map(Placement::id)
+                .collect(Collectors.toSet());
+    }
+
+    private Optional<HomeView> best(List<HomeView> homes, DoubleSupplier random) {
+        List<HomeView> usual = homes.stream().filter(home -> !home.avoided()).toList();
+        double rotationStart = random.getAsDouble();
+        List<HomeView> candidates = usual.isEmpty() ? homes : usual;
+        int offset = (int) (rotationStart * Math.max(1, candidates.size()));
+        return java.util.stream.IntStream.range(0, candidates.size())
+                .mapToObj(index -> candidates.get((index + offset) % candidates.size()))
+                .min(Comparator.comparingDouble(this::cost));
+    }
+
+    private double cost(HomeView home) {
+        double load = (double) home.busy() / Math.max(1, home.slots());
+        return expectedMillis(home) * (1 + LOAD_WEIGHT * Math.min(1, load)) + (home.near() ? 0 : farCostMillis);
+    }
+
+    /**
+     * A chosen home.
+     *
+     * @param nodeId the home
+     * @param lastResort whether its upstream isn't healthy and the home should run the work all the same
+     */
+    public record Choice(String nodeId, boolean lastResort) {}
+}
--- /dev/null
+++ b/coordination/src/main/java/org/sardineshunt/coordination/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Which home receives the next attempt. */
+package org.sardineshunt.coordination.placement;
--- /dev/null
+++ b/coordination/src/main/java/org/sardineshunt/coordination/route/FleetConfiguration.java
@@ -0,0 +1,110 @@
+package org.sardineshunt.coordination.route;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+/**
+ * Routes, services and limits of one version. Immutable and thread-safe.
+ *
+ * <pre>{@code
+ * Optional<Route> route = configuration.match("shop.example:8080", "/orders/17");
+ * }</pre>
+ */
+public final class FleetConfiguration {
+    private final long version;
+    private final Map<String, List<Route>> routesByHost;
+    private final Map<String, Service> services;
+    private final CallerLimits limits;
+    private final int routeCount;
+
+    /**
+     * Creates a configuration.
+     *
+     * @param version rises with each accepted change
+     * @throws IllegalArgumentException if a route names a service that isn't listed
+     */
+    public FleetConfiguration(long version, List<Route> routes, List<Service> services, CallerLimits limits) {
+        this.version = version;
+        this.limits = limits;
+        this.services = services.stream().collect(Collectors.toUnmodifiableMap(Service::name, service -> service));
+        routes.forEach(this::checkServices);
+        routeCount = routes.size();
+        routesByHost = routes.stream()
+                .sorted(Comparator.comparingInt((Route route) -> route.prefix().length())
+                        .reversed())
+                .collect(Collectors.groupingBy(Route::host));
+    }
+
+    /** Returns the version. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns how many routes there are. */
+    public int routeCount() {
+        return routeCount;
+    }
+
+    /** Returns what callers may send and how long they may take. */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /** Returns the service with a name. */
+    public Optional<Service> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /**
+     * Returns the route of the host whose prefix is the longest that begins the path.
+     *
+     * @param host value of the host header; a port in it is ignored
+     */
+    public Optional<Route> match(String host, String path) {
+        return routesByHost.getOrDefault(hostName(host), List.of()).stream()
+                .filter(route -> path.startsWith(route.prefix()))
+                .findFirst();
+    }
+
+    private void checkServices(Route route) {
+        route.shares().stream()
+                .filter(share -> !services.containsKey(share.service()))
+                .findFirst()
+                .ifPresent(share -> {
+                    throw new IllegalArgumentException(
+                            "route '" + route.name() + "' names the unknown service '" + share.service() + "'");
+                });
+    }
+
+    private static String hostName(String host) {
+        int colon = host.lastIndexOf(':');
+        String name = colon < 0 ? host : host.substring(0, colon);
+        return name.toLowerCase(Locale.ROOT);
+    }
+
+    /**
+     * A service.
+     *
+     * @param name unique name
+     * @param healthPath path of its health endpoint; empty if it has none
+     * @param connectionLimit connections that each upstream accepts
+     */
+    public record Service(String name, String healthPath, int connectionLimit) {}
+
+    /**
+     * Bounds on what a caller sends.
+     *
+     * @param headerBytes largest head of a request
+     * @param bodyBytes largest body of a request
+     * @param headerTimeoutMillis longest time for sending a head
+     * @param idleTimeoutMillis how long a connection may stay without a request
+     */
+    public record CallerLimits(int headerBytes, int bodyBytes, long headerTimeoutMillis, long idleTimeoutMillis) {
+        /** Bounds that hold until a configuration is known. */
+        public static final CallerLimits DEFAULT = new CallerLimits(16_384, 64 << 20, 3_000, 15_000);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/sardineshunt/coordination/route/package-info.java
@@ -0,0 +1,2 @@
+/** Which service a request goes to. */
+package org.sardineshunt.coordination.route;
--- /dev/null
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -0,0 +1,370 @@
+package org.sardineshunt.engine;
+
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.vavr.control.Either;
+import org.sardineshunt.coordination.Rendezvous;
+import org.sardineshunt.coordination.announcement.Announcement;
+import org.sardineshunt.coordination.once.CrashGuard;
+import org.sardineshunt.coordination.placement.PlacementPolicy;
+import org.sardineshunt.coordination.rotation.Rotation;
+import org.sardineshunt.coordination.route.FleetConfiguration;
+import org.sardineshunt.coordination.route.FleetConfiguration.CallerLimits;
+import org.sardineshunt.engine.backendserver.HomeService;
+import org.sardineshunt.engine.caller.EntryService;
+import org.sardineshunt.engine.caller.HomeTable;
+import org.sardineshunt.engine.http.HttpClient;
+import org.sardineshunt.engine.http.HttpServer;
+import org.sardineshunt.engine.peer.Directory;
+import org.sardineshunt.engine.peer.KnownNode;
+import org.sardineshunt.engine.peer.PeerAddress;
+import org.sardineshunt.engine.peer.PeerFailure;
+import org.sardineshunt.engine.peer.PeerNetwork;
+import org.sardineshunt.engine.platform.TableStore;
+import org.sardineshunt.engine.protocol.EngineMessages.Answer;
+import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
+import org.sardineshunt.engine.protocol.EngineMessages.CrashReport;
+import org.sardineshunt.engine.protocol.EngineMessages.Frame;
+import org.sardineshunt.engine.protocol.EngineMessages.Inquiry;
+
+/**
+ * Entry for callers and home of one upstream, without a notion of how upstreams and configuration are announced.
+ *
+ * <pre>{@code
+ * Engine engine = new Engine(settings, log, counters);
+ * engine.start(store);
+ * engine.configure(configuration);
+ * engine.announce(announcement, () -> acknowledge());
+ * engine.stop().join();
+ * }</pre>
+ *
+ * <p>Thread-safe: all state belongs to the control thread.
+ */
+public final class Engine {
+    private static final double TRIAL_SHARE = 0.2;
+    private static final double FAR_COST_MILLIS = 150;
+    private static final int CRASH_VICTIMS = 2;
+    private static final long CRASH_MEMORY_MILLIS = 120_000;
+    private static final long LOAD_PERIOD_MILLIS = 30;
+    private static final long STORED_LIMIT_MILLIS = 600;
+    private static final long STOP_POLL_MILLIS = 100;
+    private static final long STOP_QUIET_MILLIS = 300;
+    private static final long STOP_LONGEST_DETECTION_MILLIS = 2_300;
+
+    private final EngineSettings settings;
+    private final EventLog log;
+    private final Counters counters;
+    private final long incarnation = System.currentTimeMillis();
+    private final Random random;
+    private final EventLoopGroup controlGroup;
+    private final EventLoopGroup trafficGroup;
+    private final ControlLoop control;
+    private final HttpClient upstreamClient;
+    private final PeerNetwork network;
+    private final HttpServer callerServer;
+    private final CrashGuard crashes = new CrashGuard(CRASH_VICTIMS, CRASH_MEMORY_MILLIS);
+    private volatile FleetConfiguration configuration;
+    private volatile boolean ready;
+    private volatile boolean stopping;
+    private Directory directory;
+    private HomeTable homeTable;
+    private HomeService home;
+    private EntryService entry;
+    private PeerAddress ownAddress;
+    private boolean loadScheduled;
+
+    /** Creates an engine that doesn't listen yet. */
+    public Engine(EngineSettings settings, EventLog log, Counters counters) {
+        this.settings = settings;
+        this.log = log;
+        this.counters = counters;
+        random = new Random(Rendezvous.hash(settings.nodeId()) ^ incarnation);
+        controlGroup =
+                new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("control"), NioIoHandler.newFactory());
+        trafficGroup =
+                new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("traffic"), NioIoHandler.newFactory());
+        control = new ControlLoop((EventLoop) controlGroup.next(), log);
+        upstreamClient = new HttpClient(
+                (EventLoop) trafficGroup.next(), settings.headers().requestId());
+        network = new PeerNetwork(control, log, trafficGroup, settings.nodeId(), incarnation);
+        callerServer = new HttpServer(this::limits, exchange -> entry.handle(exchange));
+    }
+
+    /** Returns the thread that owns the engine's state. */
+    public ControlLoop control() {
+        return control;
+    }
+
+    /** Returns the event loops for connections. */
+    public EventLoopGroup trafficGroup() {
+        return trafficGroup;
+    }
+
+    /** Starts listening and following the table; returns once both ports are open. */
+    public void start(TableStore store) {
+        directory = new Directory(control, log, store, settings.nodeId(), random, this::directoryChanged);
+        homeTable = new HomeTable(control, directory, settings.dataCentre());
+        EngineContext context = new EngineContext(control, log, counters, settings, incarnation, crashes, random);
+        home = new HomeService(context, upstreamClient, homeTable::baseline);
+        home.listener(new HomeListener());
+        PlacementPolicy placement = new PlacementPolicy(
+                Rotation.builder().floorShare(settings.limits().floorShare()).build(), FAR_COST_MILLIS, TRIAL_SHARE);
+        entry = new EntryService(
+                context, new ReachableHomes(), homeTable, placement, () -> Optional.ofNullable(configuration));
+        int peerPort = network.listen(settings.peerAddress(), new PeerHandlers());
+        ownAddress = new PeerAddress(settings.nodeId(), settings.peerAddress().getHostString(), peerPort);
+        callerServer.listen(trafficGroup, settings.callerAddress());
+        control.execute(directory::start);
+        log.event("started")
+                .with("incarnation", incarnation)
+                .with("dataCentre", settings.dataCentre())
+                .with("service", settings.callerService())
+                .write();
+    }
+
+    /** Adopts a configuration unless a newer one is in force. */
+    public void configure(FleetConfiguration newer) {
+        control.execute(() -> {
+            if (configuration != null && newer.version() <= configuration.version()) {
+                return;
+            }
+            configuration = newer;
+            log.event("configuration-adopted")
+                    .with("version", newer.version())
+                    .with("routes", newer.routeCount())
+                    .write();
+            becomeReady();
+        });
+    }
+
+    /** Returns the configuration in force. */
+    public Optional<FleetConfiguration> configuration() {
+        return Optional.ofNullable(configuration);
+    }
+
+    /** Returns whether callers may be sent here. */
+    public boolean isReady() {
+        return ready && !stopping;
+    }
+
+    /**
+     * Takes an announcement of the upstream beside this node.
+     *
+     * @param acknowledge called when it holds even if this process ends: at once if nothing changed, else when the table
+     *     has it or doesn't answer in time
+     */
+    public void announce(Announcement announcement, Runnable acknowledge) {
+        control.execute(() -> acknowledge(home.announce(announcement), acknowledge));
+    }
+
+    /** Takes the news that the upstream beside this node leaves; acknowledged like an announcement. */
+    public void leave(String upstreamId, long born, Runnable acknowledge) {
+        control.execute(() -> acknowledge(home.leave(upstreamId, born), acknowledge));
+    }
+
+    /** Takes no new work, finishes what is in flight, and ends all threads. */
+    public CompletableFuture<Void> stop() {
+        CompletableFuture<Void> stopped = new CompletableFuture<>();
+        control.execute(() -> {
+            stopping = true;
+            long begun = control.nowMillis();
+            log.event("stopping")
+                    .with("requests", entry.inFlight())
+                    .with("attempts", home.pending())
+                    .write();
+            home.stopTaking();
+            callerServer.closeAfterAnswers();
+            publish(() -> {});
+            control.after(STOP_POLL_MILLIS, () -> awaitIdle(begun, stopped));
+        });
+        return stopped;
+    }
+
+    private void awaitIdle(long begun, CompletableFuture<Void> stopped) {
+        long elapsed = control.nowMillis() - begun;
+        boolean undetected = elapsed < STOP_LONGEST_DETECTION_MILLIS;
+        boolean busy = entry.inFlight() > 0 || home.pending() > 0 || callerServer.busy() > 0;
+        if (elapsed < settings.limits().stopMillis() && (undetected || busy || callerServer.open() > 0)) {
+            if (!undetected) {
+                callerServer.closeIdle(STOP_QUIET_MILLIS);
+            }
+            control.after(STOP_POLL_MILLIS, () -> awaitIdle(begun, stopped));
+            return;
+        }
+        log.event("stopped")
+                .with("millis", elapsed)
+                .with("cutOff", entry.inFlight() + home.pending())
+                .write();
+        callerServer.close();
+        network.close();
+        upstreamClient.close();
+        stopped.complete(null);
+    }
+
+    private CallerLimits limits() {
+        FleetConfiguration current = configuration;
+        return current == null ? CallerLimits.DEFAULT : current.limits();
+    }
+
+    private void acknowledge(boolean changed, Runnable acknowledge) {
+        if (!changed) {
+            acknowledge.run();
+            return;
+        }
+        Runnable once = new OnlyOnce(acknowledge);
+        publish(once);
+        control.after(STORED_LIMIT_MILLIS, once);
+    }
+
+    private void publish(Runnable onStored) {
+        KnownNode self = new KnownNode(ownAddress, incarnation, settings.dataCentre(), stopping, home.announcement());
+        directory.publish(self, onStored);
+    }
+
+    private void directoryChanged() {
+        homeTable.forgetFormerStarts();
+        if (!ready) {
+            recoverUpstream();
+            publish(() -> {});
+            becomeReady();
+        }
+    }
+
+    // After a restart of this process alone its upstream still runs: the own row says which one that is.
+    private void recoverUpstream() {
+        if (home.announcement().isEmpty()) {
+            directory
+                    .node(settings.nodeId())
+                    .filter(row -> row.address().host().equals(ownAddress.host()))
+                    .flatMap(KnownNode::upstream)
+                    .ifPresent(home::announce);
+        }
+    }
+
+    private void becomeReady() {
+        if (!ready && configuration != null && directory.isLoaded()) {
+            ready = true;
+            log.event("ready")
+                    .with("version", configuration.version())
+                    .with("nodes", directory.nodes().count())
+                    .write();
+        }
+    }
+
+    private void shareLoad() {
+        loadScheduled = false;
+        homeTable.report(settings.nodeId(), home.load());
+        network.tell(
+                homeTable
+                        .near()
+                        .filter(node -> !node.address().nodeId().equals(settings.nodeId()) && !node.stopping())
+                        .map(KnownNode::address)
+                        .toList(),
+                Frame.newBuilder().setLoad(home.load()).build());
+    }
+
+    private final class HomeListener implements HomeService.Listener {
+        @Override
+        public void loadChanged() {
+            if (!loadScheduled) {
+                loadScheduled = true;
+                control.after(LOAD_PERIOD_MILLIS, Engine.this::shareLoad);
+            }
+        }
+
+        @Override
+        public void crashed(long fingerprint, String upstreamId) {
+            CrashReport report = CrashReport.newBuilder()
+                    .setFingerprint(fingerprint)
+                    .setUpstreamId(upstreamId)
+                    .build();
+            network.tell(
+                    directory
+                            .nodes()
+                            .map(KnownNode::address)
+                            .filter(address -> !address.nodeId().equals(settings.nodeId()))
+                            .toList(),
+                    Frame.newBuilder().setCrash(report).build());
+        }
+    }
+
+    private final class PeerHandlers implements PeerNetwork.Handlers {
+        @Override
+        public Runnable attempt(Attempt attempt, Consumer<Answer> onAnswer) {
+            return home.attempt(attempt, onAnswer);
+        }
+
+        @Override
+        public void inquire(Inquiry inquiry, Consumer<Answer> onAnswer) {
+            home.inquire(inquiry, onAnswer);
+        }
+
+        @Override
+        public void told(String nodeId, Frame frame) {
+            if (frame.hasLoad()) {
+                homeTable.report(nodeId, frame.getLoad());
+            } else if (frame.hasCrash()) {
+                CrashReport report = frame.getCrash();
+                crashes.recordCrash(
+                        control.nowMillis(), String.valueOf(report.getFingerprint()), report.getUpstreamId());
+            }
+        }
+    }
+
+    private final class ReachableHomes implements EntryService.Homes {
+        @Override
+        public Runnable attempt(String nodeId, Attempt attempt, Consumer<Either<PeerFailure, Answer>> onResult) {
+            if (nodeId.equals(settings.nodeId())) {
+                return home.attempt(attempt, answer -> control.execute(() -> onResult.accept(Either.right(answer))));
+            }
+            return address(nodeId)
+                    .map(address -> network.attempt(address, attempt, onResult))
+                    .orElseGet(() -> {
+                        control.execute(() -> onResult.accept(unknown(nodeId)));
+                        return () -> {};
+                    });
+        }
+
+        @Override
+        public void inquire(String nodeId, Inquiry inquiry, Consumer<Either<PeerFailure, Answer>> onResult) {
+            address(nodeId)
+                    .ifPresentOrElse(
+                            address -> network.inquire(address, inquiry, onResult),
+                            () -> onResult.accept(unknown(nodeId)));
+        }
+
+        private Optional<PeerAddress> address(String nodeId) {
+            return directory.node(nodeId).map(KnownNode::address);
+        }
+
+        private Either<PeerFailure, Answer> unknown(String nodeId) {
+            return Either.left(new PeerFailure(false, 0, "node '" + nodeId + "' is not known any more"));
+        }
+    }
+
+    /** Runs an action at most once. Not thread-safe. */
+    private static final class OnlyOnce implements Runnable {
+        private Runnable action;
+
+        private OnlyOnce(Runnable action) {
+            this.action = action;
+        }
+
+        @Override
+        public void run() {
+            Runnable pending = action;
+            action = null;
+            if (pending != null) {
+                pending.run();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/engine/src/main/java/org/sardineshunt/engine/EngineContext.java
@@ -0,0 +1,25 @@
+package org.sardineshunt.engine;
+
+import java.util.Random;
+
+import org.sardineshunt.coordination.once.CrashGuard;
+
+/**
+ * What the parts of one engine share. The crash guard and the random source belong to the control thread.
+ *
+ * @param control thread that owns all state, and its timers
+ * @param log log of decisions
+ * @param counters counters and histograms
+ * @param settings settings of the engine
+ * @param incarnation start of this process in epoch milliseconds
+ * @param crashes requests that crash upstreams
+ * @param random source of randomness
+ */
+public record EngineContext(
+        ControlLoop control,
+        EventLog log,
+        Counters counters,
+        EngineSettings settings,
+        long incarnation,
+        CrashGuard crashes,
+        Random random) {}
--- /dev/null
+++ b/engine/src/main/java/org/sardineshunt/engine/EventLog.java
@@ -0,0 +1,76 @@
+package org.sardineshunt.engine;
+
+import java.util.function.Consumer;
+
+/**
+ * Writes one JSON line for each decision.
+ *
+ * <pre>{@code
+ * log.event("refused").with("request", id).with("reason", "queue-full").write();
+ * }</pre>
+ *
+ * <p>Thread-safe; the sink must be thread-safe and must not block.
+ */
+public final class EventLog {
+    private final String node;
+    private final Consumer<String> sink;
+
+    /** Creates a log whose lines name the node and go to a sink, without a line end. */
+    public EventLog(String node, Consumer<String> sink) {
+        this.node = node;
+        this.sink = sink;
+    }
+
+    /** Starts a line about an event. */
+    public Line event(String name) {
+        return new Line(name);
+    }
+
+    /** A line that is being built. Not thread-safe. */
+    public final class Line {
+        private final StringBuilder text = new StringBuilder(160);
+
+        private Line(String name) {
+            text.append("{\"time\":").append(System.currentTimeMillis());
+            with("node", node);
+            with("event", name);
+        }
+
+        /** Adds a text; null is written as an empty text. */
+        public Line with(String name, String value) {
+            text.append(",\"").append(name).append("\":\"");
+            quote(value == null ? "" : value);
+            text.append('"');
+            return this;
+        }
+
+        /** Adds a number. */
+        public Line with(String name, long value) {
+            text.append(",\"").append(name).append("\":").append(value);
+            return this;
+        }
+
+        /** Adds a truth value. */
+        public Line with(String name, boolean value) {
+            text.append(",\"").append(name).append("\":").append(value);
+            return this;
+        }
+
+        /** Hands the line to the sink. */
+        public void write() {
+            sink.accept(text.append('}').toString());
+        }
+
+        private void quote(String value) {
+            value.chars().forEach(character -> {
+                if (character == '"' || character == '\\') {
+                    text.append('\\').append((char) character);
+                } else if (character < ' ' || character > '~') {
+                    text.append(String.format("\\u%04x", character));
+                } else {
+                    text.append((char) character);
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/engine/src/main/java/org/sardineshunt/engine/RequestHeaders.java
@@ -0,0 +1,28 @@
+package org.sardineshunt.engine;
+
+import java.util.Locale;
+import java.util.Set;
+
+/**
+ * Names of the header fields that the engine reads and sets. Immutable and thread-safe.
+ *
+ * @param requestId names the caller's request; upstreams repeat it in their answers
+ * @param timeLeft milliseconds for which the caller will wait
+ * @param expectedUpstream upstream that is meant; another one refuses the request
+ * @param callerService service beside which the request began
+ * @param notRun set by an upstream that refused a request without running it
+ * @param signature proves that an answer comes from an upstream
+ */
+public record RequestHeaders(
+        String requestId,
+        String timeLeft,
+        String expectedUpstream,
+        String callerService,
+        String notRun,
+        String signature) {
+    /** Returns whether a field from a caller is replaced by the engine's own. */
+    public boolean isOwn(String name) {
+        return Set.of(timeLeft, expectedUpstream, callerService).stream()
+                .anyMatch(own -> own.toLowerCase(Locale.ROOT).equals(name.toLowerCase(Locale.ROOT)));
+    }
+}
--- /dev/null
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/GroupBaseline.java
@@ -0,0 +1,10 @@
+package org.sardineshunt.engine.backendserver;
+
+import org.sardineshunt.coordination.health.Baseline;
+
+/** Tells what is usual among the upstreams of a service. */
+@FunctionalInterface
+public interface GroupBaseline {
+    /** Returns what is usual in a service's group; {@link Baseline#UNKNOWN} without knowledge. */
+    Baseline of(String service);
+}
--- /dev/null
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
@@ -0,0 +1,492 @@
+package org.sardineshunt.engine.backendserver;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import io.vavr.control.Either;
+import org.sardineshunt.coordination.Reason;
+import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.coordination.announcement.Announcement;
+import org.sardineshunt.coordination.announcement.Announcement.Phase;
+import org.sardineshunt.coordination.announcement.AnnouncementLedger;
+import org.sardineshunt.coordination.health.HealthPolicy;
+import org.sardineshunt.coordination.health.UpstreamHealth;
+import org.sardineshunt.coordination.health.UpstreamHealth.Outcome;
+import org.sardineshunt.coordination.limit.HomeGate;
+import org.sardineshunt.coordination.limit.Work;
+import org.sardineshunt.coordination.once.AttemptLedger;
+import org.sardineshunt.coordination.once.CrashGuard;
+import org.sardineshunt.coordination.rotation.Condition;
+import org.sardineshunt.engine.ControlLoop;
+import org.sardineshunt.engine.Counters;
+import org.sardineshunt.engine.EngineContext;
+import org.sardineshunt.engine.EngineSettings;
+import org.sardineshunt.engine.EventLog;
+import org.sardineshunt.engine.http.HttpClient;
+import org.sardineshunt.engine.http.HttpOutcome;
+import org.sardineshunt.engine.protocol.EngineMessages.Answer;
+import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
+import org.sardineshunt.engine.protocol.EngineMessages.HomeLoad;
+import org.sardineshunt.engine.protocol.EngineMessages.Inquiry;
+
+/**
+ * Hands work to the upstream beside this node: the only place from which that upstream is reached. Belongs to the
+ * control thread.
+ */
+public final class HomeService {
+    private static final long ANSWER_RETENTION_MILLIS = 5_000;
+    private static final long LONGEST_IDLE_MILLIS = 4_000;
+    private static final long REFUSED_PAUSE_MILLIS = 400;
+    private static final long CRASH_WINDOW_MILLIS = 3_000;
+    private static final long EXPIRY_PERIOD_MILLIS = 1_000;
+    private static final double AMPLE_SERVICE_TIMES = 4;
+    private static final double SERVICE_MILLIS_WEIGHT = 0.1;
+    private static final double FAILURE_WEIGHT = 0.05;
+    private static final long UPSTREAM_MARGIN_MILLIS = 15;
+
+    private final ControlLoop control;
+    private final EventLog log;
+    private final Counters counters;
+    private final EngineSettings settings;
+    private final HttpClient client;
+    private final UpstreamCall upstreamCall;
+    private final GroupBaseline baseline;
+    private final CrashGuard crashes;
+    private final AnnouncementLedger announcements = new AnnouncementLedger();
+    private final AttemptLedger<Answer> attempts = new AttemptLedger<>(ANSWER_RETENTION_MILLIS);
+    private final Map<String, PendingAttempt> pending = new HashMap<>();
+    private final Map<Long, Long> brokenAtMillis = new HashMap<>();
+    private final long incarnation;
+    private HomeGate<PendingAttempt> gate = UpstreamGate.create();
+    private UpstreamHealth health = newHealth();
+    private Listener listener;
+    private String upstreamId = "";
+    private String misdirectedId = "";
+    private double serviceMillis;
+    private double failureShare;
+    private long pausedUntilMillis = Long.MIN_VALUE;
+    private long loadSequence;
+    private boolean stopping;
+    private boolean expiryScheduled;
+
+    /** Creates a home that knows no upstream. */
+    public HomeService(EngineContext context, HttpClient client, GroupBaseline baseline) {
+        control = context.control();
+        log = context.log();
+        counters = context.counters();
+        settings = context.settings();
+        crashes = context.crashes();
+        incarnation = context.incarnation();
+        this.client = client;
+        this.baseline = baseline;
+        upstreamCall = new UpstreamCall(settings.headers());
+    }
+
+    /** Sets who is told of changes. */
+    public void listener(Listener newListener) {
+        listener = newListener;
+    }
+
+    /** Returns what the upstream last said of itself. */
+    public Optional<Announcement> announcement() {
+        return announcements.current();
+    }
+
+    /** Takes an announcement; returns whether it changed what other nodes must know. */
+    public boolean announce(Announcement announcement) {
+        Optional<Announcement> before = announcements.current();
+        if (!announcements.announce(announcement)) {
+            return false;
+        }
+        return adopt(before);
+    }
+
+    /** Takes the news that the upstream leaves; returns whether it changed what other nodes must know. */
+    public boolean leave(String id, long born) {
+        Optional<Announcement> before = announcements.current();
+        return announcements.leave(id, born) && adopt(before);
+    }
+
+    /** Refuses all further attempts; those at hand go on. */
+    public void stopTaking() {
+        stopping = true;
+        refuseWaiting(Reason.SHUTTING_DOWN);
+        listener.loadChanged();
+    }
+
+    /** Returns how many attempts wait or run. */
+    public int pending() {
+        return pending.size();
+    }
+
+    /** Runs, queues or refuses an attempt; returns an action that cancels it. */
+    public Runnable attempt(Attempt attempt, Consumer<Answer> onAnswer) {
+        long now = control.nowMillis();
+        String id = attempt.getAttemptId();
+        if (attempts.arrive(id) != AttemptLedger.Arrival.ACCEPTED) {
+            onAnswer.accept(refusal(attempt, Reason.DUPLICATE_ATTEMPT));
+            return () -> {};
+        }
+        PendingAttempt work = new PendingAttempt(attempt, now, onAnswer);
+        pending.put(id, work);
+        scheduleExpiry();
+        Optional<Reason> objection = objection(now, attempt);
+        if (objection.isPresent()) {
+            refuse(work, objection.get());
+            return () -> {};
+        }
+        startWaiting(now);
+        Either<Reason, Boolean> offered = gate.offer(
+                now, new Work<>(id, UpstreamGate.name(attempt.getRank()), now + attempt.getLeftMillis(), work));
+        if (offered.isLeft()) {
+            refuse(work, offered.getLeft());
+            return () -> {};
+        }
+        if (offered.get()) {
+            start(work);
+        }
+        listener.loadChanged();
+        return () -> cancel(id);
+    }
+
+    /** Tells the end of an attempt whose link was lost; one that hasn't started never will. */
+    public void inquire(Inquiry inquiry, Consumer<Answer> onAnswer) {
+        long now = control.nowMillis();
+        String id = inquiry.getAttemptId();
+        if (inquiry.getHomeIncarnation() != incarnation) {
+            onAnswer.accept(UpstreamCall.failure(Verdict.MAY_HAVE_RUN, Reason.LINK_LOST, true)
+                    .build());
+            return;
+        }
+        AttemptLedger.Abandonment<Answer> known =
+                attempts.abandon(now, id, inquiry.getLeftMillis() + ANSWER_RETENTION_MILLIS);
+        switch (known.state()) {
+            case FINISHED -> onAnswer.accept(known.answer());
+            case RUNNING -> pending.get(id).alsoTell(onAnswer);
+            default -> {
+                gate.remove(id);
+                pending.remove(id);
+                onAnswer.accept(UpstreamCall.failure(Verdict.NOT_RUN, Reason.ABANDONED, false)
+                        .setLoad(load())
+                        .build());
+            }
+        }
+    }
+
+    /** Returns the load and health of the upstream for other nodes. */
+    public HomeLoad load() {
+        long now = control.nowMillis();
+        int slots = announcements.current().map(Announcement::slots).orElse(0);
+        return HomeLoad.newBuilder()
+                .setInFlight(gate.inFlight())
+                .setWaiting(gate.queued())
+                .setSlots(slots)
+                .setServiceMillis((int) serviceMillis)
+                .setCondition(health.condition(now).ordinal())
+                .setAccepting(isAccepting(now))
+                .setFailurePermille((int) (failureShare * 1_000))
+                .setSequence(++loadSequence)
+                .setIncarnation(incarnation)
+                .build();
+    }
+
+    private boolean adopt(Optional<Announcement> before) {
+        Announcement now = announcements.current().orElseThrow();
+        boolean otherStart = before.map(old -> !old.id().equals(now.id()) || old.born() != now.born())
+                .orElse(true);
+        boolean otherPhase = before.map(old -> old.phase() != now.phase()).orElse(true);
+        pausedUntilMillis = Long.MIN_VALUE;
+        if (otherStart) {
+            startedAgain(now);
+        }
+        if (now.phase() != Phase.READY) {
+            refuseWaiting(Reason.DRAINING);
+        }
+        if (otherStart || otherPhase) {
+            log.event("upstream-announced")
+                    .with("upstream", now.id())
+                    .with("service", now.service())
+                    .with("phase", now.phase().name())
+                    .with("sequence", now.sequence())
+                    .with("born", now.born())
+                    .write();
+            listener.loadChanged();
+        }
+        startWaiting(control.nowMillis());
+        return otherStart || otherPhase;
+    }
+
+    private void startedAgain(Announcement now) {
+        blameBroken("a new start '" + now.id() + "' was announced");
+        refuseWaiting(Reason.NO_UPSTREAM);
+        client.forget(settings.upstreamAddress());
+        upstreamId = now.id();
+        misdirectedId = "";
+        health = newHealth();
+        failureShare = 0;
+    }
+
+    private Optional<Reason> objection(long now, Attempt attempt) {
+        Optional<Announcement> current = announcements.current();
+        if (stopping) {
+            return Optional.of(Reason.SHUTTING_DOWN);
+        }
+        if (current.isEmpty() || !current.get().service().equals(attempt.getService())) {
+            return Optional.of(Reason.NO_UPSTREAM);
+        }
+        if (current.get().phase() != Phase.READY) {
+            return Optional.of(Reason.DRAINING);
+        }
+        if (!isAccepting(now)) {
+            return Optional.of(Reason.BACKEND_SERVER_REFUSED);
+        }
+        if (!attempt.getLastResort() && health.condition(now) == Condition.UNHEALTHY) {
+            return Optional.of(Reason.OUT_OF_ROTATION);
+        }
+        return crashes.refuses(now, String.valueOf(attempt.getFingerprint()))
+                ? Optional.of(Reason.CRASHING_REQUEST)
+                : Optional.empty();
+    }
+
+    private boolean isAccepting(long now) {
+        return !stopping
+                && now >= pausedUntilMillis
+                && !misdirectedId.equals(upstreamId)
+                && announcements
+                        .current()
+                        .map(current -> current.phase() == Phase.READY)
+                        .orElse(false);
+    }
+
+    private int limit(long now) {
+        return isAccepting(now)
+                ? announcements.current().map(Announcement::slots).orElse(0)
+                : 0;
+    }
+
+    private void start(PendingAttempt work) {
+        long now = control.nowMillis();
+        Attempt attempt = work.attempt();
+        String id = attempt.getAttemptId();
+        attempts.start(id);
+        long leftMillis = work.arrivedMillis() + attempt.getLeftMillis() - now;
+        work.started(
+                now,
+                client.send(
+                        settings.upstreamAddress(),
+                        upstreamCall.request(attempt, upstreamId, Math.max(1, leftMillis - UPSTREAM_MARGIN_MILLIS)),
+                        new HttpClient.Options(leftMillis, LONGEST_IDLE_MILLIS),
+                        outcome -> control.execute(() -> ended(work, outcome))));
+        watchOverdue(work);
+    }
+
+    private void watchOverdue(PendingAttempt work) {
+        health.baseline(baseline.of(work.attempt().getService()));
+        double limit = health.slowLimitMillis();
+        if (limit < work.attempt().getLeftMillis()) {
+            UpstreamHealth watched = health;
+            control.after((long) limit + 1, () -> {
+                boolean runs = pending.get(work.attempt().getAttemptId()) == work;
+                if (runs && watched == health && work.becomesOverdue(control.nowMillis(), limit)) {
+                    noteHealth(() -> health.recordOverdue(control.nowMillis()));
+                }
+            });
+        }
+    }
+
+    private void ended(PendingAttempt work, HttpOutcome outcome) {
+        long now = control.nowMillis();
+        Attempt attempt = work.attempt();
+        String id = attempt.getAttemptId();
+        long millis = now - work.startedMillis();
+        Answer.Builder builder = upstreamCall.answer(outcome);
+        boolean success = builder.getVerdict() == Verdict.RAN.ordinal() && builder.getStatus() < 500;
+        judge(work, outcome, success, millis);
+        pending.remove(id);
+        List<Work<PendingAttempt>> next = gate.finish(now, success ? millis : -1);
+        Answer answer = builder.setLoad(load()).build();
+        if (answer.getVerdict() == Verdict.NOT_RUN.ordinal()) {
+            attempts.refuse(now, id);
+        } else {
+            attempts.finish(now, id, answer);
+        }
+        counters.count("home_answers", answer.getReason());
+        counters.observe("upstream_seconds", attempt.getService(), millis);
+        if (!success) {
+            log.event("attempt-failed")
+                    .with("request", attempt.getRequestId())
+                    .with("attempt", id)
+                    .with("upstream", upstreamId)
+                    .with("reason", answer.getReason())
+                    .with("verdict", Verdict.values()[answer.getVerdict()].label())
+                    .with("status", answer.getStatus())
+                    .with("millis", millis)
+                    .with("detail", outcome instanceof HttpOutcome.Failed failed ? failed.detail() : "")
+                    .write();
+        }
+        work.end(answer);
+        next.forEach(waiting -> start(waiting.payload()));
+        listener.loadChanged();
+    }
+
+    private void judge(PendingAttempt work, HttpOutcome outcome, boolean success, long millis) {
+        long now = control.nowMillis();
+        Attempt attempt = work.attempt();
+        if (outcome instanceof HttpOutcome.Failed failed) {
+            judgeFailure(attempt, failed);
+            if (failed.kind() == HttpOutcome.Kind.CANCELLED || failed.kind() == HttpOutcome.Kind.CONNECT) {
+                return;
+            }
+        }
+        if (UpstreamCall.isMisdirected(outcome)) {
+            misdirectedId = upstreamId;
+            return;
+        }
+        boolean shortOfTime = !success
+                && outcome instanceof HttpOutcome.Failed failed
+                && failed.kind() == HttpOutcome.Kind.TIMEOUT
+                && attempt.getLeftMillis() < AMPLE_SERVICE_TIMES * serviceMillis;
+        if (shortOfTime || work.wasOverdue() && success) {
+            return;
+        }
+        failureShare += ((success ? 0 : 1) - failureShare) * FAILURE_WEIGHT;
+        if (success) {
+            crashes.recordAnswer(String.valueOf(attempt.getFingerprint()));
+            serviceMillis =
+                    serviceMillis == 0 ? millis : serviceMillis + (millis - serviceMillis) * SERVICE_MILLIS_WEIGHT;
+        }
+        health.baseline(baseline.of(attempt.getService()));
+        noteHealth(() -> health.record(now, success ? Outcome.SUCCESS : Outcome.FAILURE, millis));
+    }
+
+    private void judgeFailure(Attempt attempt, HttpOutcome.Failed failed) {
+        long now = control.nowMillis();
+        if (failed.kind() == HttpOutcome.Kind.CONNECT) {
+            blameBroken("the upstream refuses connections");
+            pausedUntilMillis = now + REFUSED_PAUSE_MILLIS;
+            refuseWaiting(Reason.BACKEND_SERVER_REFUSED);
+            control.after(REFUSED_PAUSE_MILLIS + 1, listener::loadChanged);
+        } else if (failed.kind() == HttpOutcome.Kind.CLOSED) {
+            brokenAtMillis.put(attempt.getFingerprint(), now);
+        }
+    }
+
+    // A request whose connection broke shortly before its upstream was found down is suspected to have crashed it.
+    private void blameBroken(String cause) {
+        long now = control.nowMillis();
+        brokenAtMillis.values().removeIf(at -> now - at > CRASH_WINDOW_MILLIS);
+        brokenAtMillis.keySet().forEach(fingerprint -> {
+            if (crashes.recordCrash(now, String.valueOf(fingerprint), upstreamId)) {
+                log.event("upstream-crashed")
+                        .with("upstream", upstreamId)
+                        .with("fingerprint", Long.toHexString(fingerprint))
+                        .with("cause", cause)
+                        .write();
+                listener.crashed(fingerprint, upstreamId);
+            }
+        });
+        brokenAtMillis.clear();
+    }
+
+    private void noteHealth(Runnable evidence) {
+        Condition before = health.condition(control.nowMillis());
+        evidence.run();
+        Condition after = health.condition(control.nowMillis());
+        if (before != after) {
+            log.event("upstream-health")
+                    .with("upstream", upstreamId)
+                    .with("before", before.name())
+                    .with("after", after.name())
+                    .with("severity", health.severity())
+                    .with("failurePermille", (long) (failureShare * 1_000))
+                    .write();
+            counters.count("health_changes", after.name());
+            listener.loadChanged();
+        }
+    }
+
+    private void cancel(String id) {
+        PendingAttempt work = pending.get(id);
+        if (work == null) {
+            return;
+        }
+        if (gate.remove(id).isPresent()) {
+            refuse(work, Reason.ABANDONED);
+        } else if (work.attempt().getIdempotent()) {
+            work.cancel();
+        }
+    }
+
+    private void startWaiting(long now) {
+        gate.limit(now, limit(now)).forEach(work -> start(work.payload()));
+    }
+
+    private void refuseWaiting(Reason reason) {
+        gate.removeAll().forEach(work -> refuse(work.payload(), reason));
+    }
+
+    private void refuse(PendingAttempt work, Reason reason) {
+        String id = work.attempt().getAttemptId();
+        attempts.refuse(control.nowMillis(), id);
+        pending.remove(id);
+        counters.count("home_refusals", reason.label());
+        log.event("attempt-refused")
+                .with("request", work.attempt().getRequestId())
+                .with("attempt", id)
+                .with("upstream", upstreamId)
+                .with("reason", reason.label())
+                .with("inFlight", gate.inFlight())
+                .with("waiting", gate.queued())
+                .with("serviceMillis", (long) serviceMillis)
+                .with("leftMillis", work.attempt().getLeftMillis())
+                .write();
+        work.end(refusal(work.attempt(), reason));
+    }
+
+    private Answer refusal(Attempt attempt, Reason reason) {
+        return UpstreamCall.failure(Verdict.NOT_RUN, reason, false)
+                .setLoad(load())
+                .build();
+    }
+
+    private void scheduleExpiry() {
+        if (expiryScheduled) {
+            return;
+        }
+        expiryScheduled = true;
+        control.after(EXPIRY_PERIOD_MILLIS, () -> {
+            expiryScheduled = false;
+            long now = control.nowMillis();
+            gate.removeExpired(now).forEach(work -> refuse(work.payload(), Reason.DEADLINE_SLACK));
+            attempts.expire(now);
+            crashes.expire(now);
+            if (attempts.size() > 0) {
+                scheduleExpiry();
+            }
+        });
+    }
+
+    private static UpstreamHealth newHealth() {
+        return new UpstreamHealth(HealthPolicy.builder()
+                .usualFailureShare(0.012)
+                .unhealthyFailureShare(0.4)
+                .ejectionScore(6)
+                .minimumSlowMillis(250)
+                .slowFactor(6)
+                .ejectionMillis(1_500, 2_000, 4_000)
+                .trialSuccesses(2)
+                .build());
+    }
+
+    /** Takes what the rest of the node must know, on the control thread. */
+    public interface Listener {
+        /** The load or health that other nodes see has changed. */
+        void loadChanged();
+
+        /** A request seems to have crashed the upstream. */
+        void crashed(long fingerprint, String upstreamId);
+    }
+}
--- /dev/null
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/PendingAttempt.java
@@ -0,0 +1,69 @@
+package org.sardineshunt.engine.backendserver;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+import org.sardineshunt.engine.http.HttpClient;
+import org.sardineshunt.engine.protocol.EngineMessages.Answer;
+import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
+
+/** An attempt that waits or runs at its home. Belongs to the control thread. */
+final class PendingAttempt {
+    private final Attempt attempt;
+    private final long arrivedMillis;
+    private final List<Consumer<Answer>> listeners = new ArrayList<>();
+    private HttpClient.Call call;
+    private long startedMillis;
+    private boolean overdue;
+
+    PendingAttempt(Attempt attempt, long arrivedMillis, Consumer<Answer> listener) {
+        this.attempt = attempt;
+        this.arrivedMillis = arrivedMillis;
+        listeners.add(listener);
+    }
+
+    Attempt attempt() {
+        return attempt;
+    }
+
+    long arrivedMillis() {
+        return arrivedMillis;
+    }
+
+    long startedMillis() {
+        return startedMillis;
+    }
+
+    void started(long nowMillis, HttpClient.Call newCall) {
+        startedMillis = nowMillis;
+        call = newCall;
+    }
+
+    /** Returns whether the attempt has just become overdue; tells it once. */
+    boolean becomesOverdue(long nowMillis, double limitMillis) {
+        if (overdue || nowMillis - startedMillis <= limitMillis) {
+            return false;
+        }
+        overdue = true;
+        return true;
+    }
+
+    boolean wasOverdue() {
+        return overdue;
+    }
+
+    void cancel() {
+        if (call != null) {
+            call.cancel();
+        }
+    }
+
+    void alsoTell(Consumer<Answer> listener) {
+        listeners.add(listener);
+    }
+
+    void end(Answer answer) {
+        listeners.forEach(listener -> listener.accept(answer));
+    }
+}
--- /dev/null
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamCall.java
@@ -0,0 +1,103 @@
+package org.sardineshunt.engine.backendserver;
+
+import java.util.List;
+import java.util.stream.Stream;
+
+import com.google.protobuf.ByteString;
+import org.sardineshunt.coordination.Reason;
+import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.engine.RequestHeaders;
+import org.sardineshunt.engine.http.HttpAnswer;
+import org.sardineshunt.engine.http.HttpField;
+import org.sardineshunt.engine.http.HttpOutcome;
+import org.sardineshunt.engine.http.HttpOutcome.Answered;
+import org.sardineshunt.engine.http.HttpOutcome.Failed;
+import org.sardineshunt.engine.http.HttpRequestData;
+import org.sardineshunt.engine.protocol.EngineMessages.Answer;
+import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
+import org.sardineshunt.engine.protocol.EngineMessages.Header;
+
+/** Builds the request to an upstream and says what its outcome proves. Immutable and thread-safe. */
+final class UpstreamCall {
+    private static final int MISDIRECTED = 421;
+
+    private final RequestHeaders headers;
+
+    UpstreamCall(RequestHeaders headers) {
+        this.headers = headers;
+    }
+
+    HttpRequestData request(Attempt attempt, String upstreamId, long leftMillis) {
+        Stream<HttpField> passedOn =
+                attempt.getHeadersList().stream().map(header -> new HttpField(header.getName(), header.getValue()));
+        List<HttpField> fields = Stream.concat(
+                        passedOn,
+                        Stream.of(
+                                new HttpField(headers.timeLeft(), String.valueOf(leftMillis)),
+                                new HttpField(headers.expectedUpstream(), upstreamId),
+                                new HttpField(headers.callerService(), attempt.getCallerService())))
+                .toList();
+        return new HttpRequestData(
+                attempt.getMethod(),
+                attempt.getTarget(),
+                fields,
+                attempt.getBody().toByteArray());
+    }
+
+    /** Returns the answer that an outcome amounts to. */
+    Answer.Builder answer(HttpOutcome outcome) {
+        if (outcome instanceof Answered answered) {
+            return answer(answered.answer());
+        }
+        Failed failed = (Failed) outcome;
+        boolean notSent = failed.stage() == HttpOutcome.Stage.NOT_SENT;
+        Reason reason =
+                switch (failed.kind()) {
+                    case CONNECT -> Reason.BACKEND_SERVER_REFUSED;
+                    case CLOSED -> Reason.BACKEND_SERVER_FAILED;
+                    case TIMEOUT -> Reason.DEADLINE_PASSED;
+                    case MALFORMED -> Reason.ANSWER_CROSSED;
+                    case CANCELLED -> Reason.ABANDONED;
+                };
+        return failure(notSent ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN, reason, !notSent);
+    }
+
+    /** Returns whether an answer says that another upstream has the address now. */
+    static boolean isMisdirected(HttpOutcome outcome) {
+        return outcome instanceof Answered answered && answered.answer().status() == MISDIRECTED;
+    }
+
+    static Answer.Builder failure(Verdict verdict, Reason reason, boolean offered) {
+        return Answer.newBuilder()
+                .setVerdict(verdict.ordinal())
+                .setReason(reason.label())
+                .setOffered(offered);
+    }
+
+    private Answer.Builder answer(HttpAnswer answer) {
+        if (answer.field(headers.notRun()).isPresent()) {
+            return failure(Verdict.NOT_RUN, Reason.BACKEND_SERVER_SHED, true);
+        }
+        if (answer.status() == MISDIRECTED) {
+            return failure(Verdict.NOT_RUN, Reason.BACKEND_SERVER_REFUSED, true);
+        }
+        boolean success = answer.status() / 100 == 2;
+        if (success && answer.field(headers.signature()).isEmpty()
+                || answer.field("content-encoding").isPresent()) {
+            return failure(Verdict.MAY_HAVE_RUN, Reason.ANSWER_CROSSED, true);
+        }
+        List<Header> passedOn = HttpField.endToEnd(answer.fields()).stream()
+                .map(field -> Header.newBuilder()
+                        .setName(field.name())
+                        .setValue(field.value())
+                        .build())
+                .toList();
+        return Answer.newBuilder()
+                .setVerdict(Verdict.RAN.ordinal())
+                .setReason(answer.status() >= 500 ? Reason.SERVER_ERROR.label() : Reason.NONE.label())
+                .setStatus(answer.status())
+                .addAllHeaders(passedOn)
+                .setBody(ByteString.copyFrom(answer.body()))
+                .setOffered(true);
+    }
+}
--- /dev/null
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/package-info.java
@@ -0,0 +1,2 @@
+/** What the engine says to the upstream beside it. */
+package org.sardineshunt.engine.backendserver;
--- /dev/null
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/HomeTable.java
@@ -0,0 +1,152 @@
+package org.sardineshunt.engine.caller;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+
+import org.sardineshunt.coordination.TimerService;
+import org.sardineshunt.coordination.announcement.Announcement;
+import org.sardineshunt.coordination.announcement.Announcement.Phase;
+import org.sardineshunt.coordination.health.Baseline;
+import org.sardineshunt.coordination.placement.HomeView;
+import org.sardineshunt.coordination.rotation.Condition;
+import org.sardineshunt.engine.peer.Directory;
+import org.sardineshunt.engine.peer.KnownNode;
+import org.sardineshunt.engine.protocol.EngineMessages.HomeLoad;
+
+/** What this node knows of the homes of each service. Belongs to the control thread. */
+public final class HomeTable {
+    private static final long LOAD_LIFE_MILLIS = 2_000;
+    private static final long BASELINE_LIFE_MILLIS = 10_000;
+    private static final int BASELINE_REQUESTS = 1;
+    private static final int ASSUMED_REQUESTS = 1_000;
+
+    private final TimerService timers;
+    private final Directory directory;
+    private final String dataCentre;
+    private final Map<String, Known> known = new HashMap<>();
+
+    /** Creates a table without reports. */
+    public HomeTable(TimerService timers, Directory directory, String dataCentre) {
+        this.timers = timers;
+        this.directory = directory;
+        this.dataCentre = dataCentre;
+    }
+
+    /** Returns the homes of a service that take work as far as is known. */
+    public List<HomeView> homes(String service) {
+        long now = timers.nowMillis();
+        return directory
+                .nodes()
+                .filter(node -> !node.stopping() && serves(node, service))
+                .sorted(java.util.Comparator.comparing(node -> node.address().nodeId()))
+                .map(node -> view(now, node))
+                .toList();
+    }
+
+    /** Takes a report, unless a newer one of the same home is known. */
+    public void report(String nodeId, HomeLoad load) {
+        Known home = home(nodeId);
+        boolean older = home.load != null
+                && load.getIncarnation() == home.load.getIncarnation()
+                && load.getSequence() <= home.load.getSequence();
+        if (older) {
+            return;
+        }
+        if (home.load != null && home.load.getIncarnation() != load.getIncarnation()) {
+            home.avoidedUntilMillis = Long.MIN_VALUE;
+        }
+        home.load = load;
+        home.reportedMillis = timers.nowMillis();
+        home.sentSince = 0;
+    }
+
+    /** Notes that an attempt was sent. */
+    public void sent(String nodeId) {
+        Known home = home(nodeId);
+        home.outstanding++;
+        home.sentSince++;
+    }
+
+    /** Notes that an attempt ended. */
+    public void ended(String nodeId) {
+        Known home = home(nodeId);
+        home.outstanding = Math.max(0, home.outstanding - 1);
+    }
+
+    /** Prefers other homes for some milliseconds. */
+    public void avoid(String nodeId, long millis) {
+        Known home = home(nodeId);
+        home.avoidedUntilMillis = Math.max(home.avoidedUntilMillis, timers.nowMillis() + millis);
+    }
+
+    /** Ends the avoidance of nodes that have started again. */
+    public void forgetFormerStarts() {
+        directory.nodes().forEach(node -> {
+            Known home = home(node.address().nodeId());
+            if (home.incarnation != node.incarnation()) {
+                home.incarnation = node.incarnation();
+                home.avoidedUntilMillis = Long.MIN_VALUE;
+            }
+        });
+    }
+
+    /** Returns what is usual in a service's group, by the homes' reports. */
+    public Baseline baseline(String service) {
+        long now = timers.nowMillis();
+        List<Baseline.Sample> samples = directory
+                .nodes()
+                .filter(node -> serves(node, service))
+                .map(node -> known.get(node.address().nodeId()))
+                .filter(home -> home != null && home.load != null && home.load.getServiceMillis() > 0)
+                .filter(home -> now - home.reportedMillis < BASELINE_LIFE_MILLIS)
+                .map(home -> new Baseline.Sample(
+                        ASSUMED_REQUESTS, home.load.getFailurePermille(), home.load.getServiceMillis()))
+                .toList();
+        return Baseline.of(samples, BASELINE_REQUESTS);
+    }
+
+    /** Returns the nodes of the own data centre. */
+    public Stream<KnownNode> near() {
+        return directory.nodes().filter(node -> node.dataCentre().equals(dataCentre));
+    }
+
+    private HomeView view(long now, KnownNode node) {
+        String nodeId = node.address().nodeId();
+        Known home = home(nodeId);
+        Announcement upstream = node.upstream().orElseThrow();
+        boolean fresh = home.load != null && now - home.reportedMillis < LOAD_LIFE_MILLIS;
+        int reported = fresh ? home.load.getInFlight() + home.load.getWaiting() + home.sentSince : 0;
+        boolean refusing = fresh && !home.load.getAccepting();
+        return new HomeView(
+                nodeId,
+                node.dataCentre().equals(dataCentre),
+                upstream.slots(),
+                Math.max(reported, home.outstanding),
+                home.load == null ? 0 : home.load.getServiceMillis(),
+                home.load == null ? Condition.HEALTHY : Condition.ofOrdinal(home.load.getCondition()),
+                refusing || now < home.avoidedUntilMillis);
+    }
+
+    private static boolean serves(KnownNode node, String service) {
+        return node.upstream()
+                .filter(upstream -> upstream.phase() == Phase.READY)
+                .filter(upstream -> upstream.service().equals(service))
+                .isPresent();
+    }
+
+    private Known home(String nodeId) {
+        return known.computeIfAbsent(nodeId, id -> new Known());
+    }
+
+    /** Reports of one home and this node's own traffic to it. */
+    private static final class Known {
+        private HomeLoad load;
+        private long reportedMillis;
+        private long avoidedUntilMillis = Long.MIN_VALUE;
+        private long incarnation;
+        private int outstanding;
+        private int sentSince;
+    }
+}
--- /dev/null
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/package-info.java
@@ -0,0 +1,2 @@
+/** What the engine says to callers. */
+package org.sardineshunt.engine.caller;
--- /dev/null
+++ b/engine/src/main/java/org/sardineshunt/engine/http/HttpClient.java
@@ -0,0 +1,220 @@
+package org.sardineshunt.engine.http;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import org.sardineshunt.engine.http.HttpOutcome.Failed;
+import org.sardineshunt.engine.http.HttpOutcome.Kind;
+import org.sardineshunt.engine.http.HttpOutcome.Stage;
+
+/**
+ * Calls over kept connections, one call at a time on each.
+ *
+ * <pre>{@code
+ * HttpClient client = new HttpClient(eventLoop, "X-Request-Id");
+ * HttpClient.Call call = client.send(address, request, options, outcome -> { ... });
+ * call.cancel();
+ * }</pre>
+ *
+ * <p>A connection is used again only after a whole, well-formed answer to its own request; bytes that arrive in between
+ * close it. Nothing is repeated. Thread-safe; outcomes arrive on the event loop, exactly once.
+ */
+public final class HttpClient implements AutoCloseable {
+    private static final int CONNECT_TIMEOUT_MILLIS = 500;
+    private static final int LINE_BYTES = 16_384;
+    private static final int HEAD_BYTES = 65_536;
+    private static final int CHUNK_BYTES = 65_536;
+
+    private final EventLoop loop;
+    private final String echoedField;
+    private final Map<InetSocketAddress, Deque<ClientConnection>> idle = new HashMap<>();
+    private boolean closed;
+
+    /**
+     * Creates a client without connections.
+     *
+     * @param echoedField field that answers repeat from their request, by which a crossed answer is known; empty when
+     *     there is none
+     */
+    public HttpClient(EventLoop loop, String echoedField) {
+        this.loop = loop;
+        this.echoedField = echoedField;
+    }
+
+    /** Sends a request. */
+    public Call send(
+            InetSocketAddress address, HttpRequestData request, Options options, Consumer<HttpOutcome> onOutcome) {
+        Call call = new Call(address, request, options, onOutcome);
+        loop.execute(call::start);
+        return call;
+    }
+
+    /** Closes the kept connections to an address. */
+    public void forget(InetSocketAddress address) {
+        loop.execute(() -> {
+            Deque<ClientConnection> connections = idle.remove(address);
+            if (connections != null) {
+                connections.forEach(ClientConnection::close);
+            }
+        });
+    }
+
+    @Override
+    public void close() {
+        loop.execute(() -> {
+            closed = true;
+            idle.values().forEach(connections -> connections.forEach(ClientConnection::close));
+            idle.clear();
+        });
+    }
+
+    private void keep(ClientConnection connection) {
+        if (closed) {
+            connection.close();
+            return;
+        }
+        idle.computeIfAbsent(connection.address(), key -> new ArrayDeque<>()).push(connection);
+    }
+
+    private void drop(ClientConnection connection) {
+        Deque<ClientConnection> connections = idle.get(connection.address());
+        if (connections != null) {
+            connections.remove(connection);
+        }
+    }
+
+    private ClientConnection takeIdle(InetSocketAddress address, long longestIdleMillis) {
+        Deque<ClientConnection> connections = idle.get(address);
+        while (connections != null && !connections.isEmpty()) {
+            ClientConnection connection = connections.pop();
+            if (connection.usable(longestIdleMillis)) {
+                return connection;
+            }
+            connection.close();
+        }
+        return null;
+    }
+
+    private ChannelFuture connect(ClientConnection connection) {
+        return new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        KeepAliveProbes.apply(channel);
+                        channel.pipeline()
+                                .addLast(new HttpClientCodec(LINE_BYTES, HEAD_BYTES, CHUNK_BYTES), connection);
+                    }
+                })
+                .connect(connection.address());
+    }
+
+    /**
+     * How a call is made.
+     *
+     * @param timeoutMillis longest time until the whole answer
+     * @param longestIdleMillis longest time for which a connection may have been idle to be used again; negative for a
+     *     new connection
+     */
+    public record Options(long timeoutMillis, long longestIdleMillis) {}
+
+    /** A call in flight. Thread-safe. */
+    public final class Call {
+        private final InetSocketAddress address;
+        private final HttpRequestData request;
+        private final Options options;
+        private final Consumer<HttpOutcome> onOutcome;
+        private ClientConnection connection;
+        private java.util.concurrent.ScheduledFuture<?> timer;
+        private boolean sent;
+        private boolean ended;
+
+        private Call(
+                InetSocketAddress address, HttpRequestData request, Options options, Consumer<HttpOutcome> onOutcome) {
+            this.address = address;
+            this.request = request;
+            this.options = options;
+            this.onOutcome = onOutcome;
+        }
+
+        /** Ends the call and closes its connection, unless it has ended. */
+        public void cancel() {
+            loop.execute(() -> fail(Kind.CANCELLED, "cancelled"));
+        }
+
+        HttpRequestData request() {
+            return request;
+        }
+
+        void answered(HttpAnswer answer, boolean reusable) {
+            if (ended) {
+                return;
+            }
+            finish(new HttpOutcome.Answered(answer));
+            if (reusable) {
+                keep(connection);
+            } else {
+                connection.close();
+            }
+        }
+
+        void fail(Kind kind, String detail) {
+            if (ended) {
+                return;
+            }
+            finish(new Failed(sent ? Stage.SENT : Stage.NOT_SENT, kind, detail));
+            if (connection != null) {
+                connection.close();
+            }
+        }
+
+        private void start() {
+            timer = loop.schedule(
+                    () -> fail(Kind.TIMEOUT, "no whole answer within " + options.timeoutMillis() + " ms"),
+                    Math.max(1, options.timeoutMillis()),
+                    TimeUnit.MILLISECONDS);
+            connection = takeIdle(address, options.longestIdleMillis());
+            if (connection != null) {
+                write();
+                return;
+            }
+            connection = new ClientConnection(address, echoedField, HttpClient.this::drop);
+            connect(connection).addListener(connected -> {
+                if (!connected.isSuccess()) {
+                    fail(Kind.CONNECT, String.valueOf(connected.cause().getMessage()));
+                } else if (ended) {
+                    connection.close();
+                } else {
+                    write();
+                }
+            });
+        }
+
+        private void write() {
+            sent = true;
+            connection.write(this);
+        }
+
+        private void finish(HttpOutcome outcome) {
+            ended = true;
+            timer.cancel(false);
+            onOutcome.accept(outcome);
+        }
+    }
+}
--- /dev/null
+++ b/engine/src/main/java/org/sardineshunt/engine/http/KeepAliveProbes.java
@@ -0,0 +1,29 @@
+package org.sardineshunt.engine.http;
+
+import java.net.SocketOption;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.nio.NioChannelOption;
+import jdk.net.ExtendedSocketOptions;
+
+/** TCP keep-alive probes that close a connection whose other end has gone silent. Thread-safe. */
+public final class KeepAliveProbes {
+    private static final int IDLE_SECONDS = 1;
+    private static final int INTERVAL_SECONDS = 1;
+    private static final int PROBES = 2;
+
+    private KeepAliveProbes() {}
+
+    /** Turns the probes on: a silent connection closes after about three seconds. */
+    public static void apply(Channel channel) {
+        channel.config().setOption(ChannelOption.SO_KEEPALIVE, true);
+        set(channel, ExtendedSocketOptions.TCP_KEEPIDLE, IDLE_SECONDS);
+        set(channel, ExtendedSocketOptions.TCP_KEEPINTERVAL, INTERVAL_SECONDS);
+        set(channel, ExtendedSocketOptions.TCP_KEEPCOUNT, PROBES);
+    }
+
+    private static void set(Channel channel, SocketOption<Integer> option, int value) {
+        channel.config().setOption(NioChannelOption.of(option), value);
+    }
+}
--- /dev/null
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/Directory.java
@@ -0,0 +1,196 @@
+package org.sardineshunt.engine.peer;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.stream.Stream;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.sardineshunt.coordination.announcement.Announcement;
+import org.sardineshunt.coordination.announcement.Announcement.Phase;
+import org.sardineshunt.engine.ControlLoop;
+import org.sardineshunt.engine.EventLog;
+import org.sardineshunt.engine.platform.TableStore;
+import org.sardineshunt.engine.platform.TableStore.Row;
+import org.sardineshunt.engine.platform.TableStore.TableFailure;
+import org.sardineshunt.engine.platform.TableWatch;
+import org.sardineshunt.engine.protocol.EngineMessages.NodeRecord;
+import org.sardineshunt.engine.protocol.EngineMessages.UpstreamRecord;
+
+/**
+ * The nodes of the fleet, by their rows in the table. Each node writes only its own row. Belongs to the control thread.
+ */
+public final class Directory {
+    private static final String TABLE = "sardineshunt-nodes";
+    private static final long PAUSE_MILLIS = 300;
+    private static final long RETRY_MILLIS = 400;
+
+    private final ControlLoop control;
+    private final EventLog log;
+    private final TableStore store;
+    private final String ownId;
+    private final Runnable onChanged;
+    private final TableWatch watch;
+    private final Map<String, KnownNode> nodes = new HashMap<>();
+    private KnownNode desired;
+    private boolean writing;
+    private long ownVersion;
+
+    /** Creates a directory that doesn't read the table yet. */
+    public Directory(
+            ControlLoop control, EventLog log, TableStore store, String ownId, Random random, Runnable onChanged) {
+        this.control = control;
+        this.log = log;
+        this.store = store;
+        this.ownId = ownId;
+        this.onChanged = onChanged;
+        watch = new TableWatch(control, log, store, TABLE, PAUSE_MILLIS, random, this::take);
+    }
+
+    /** Starts following the table. */
+    public void start() {
+        watch.start();
+    }
+
+    /** Returns whether the table was read at least once. */
+    public boolean isLoaded() {
+        return watch.isLoaded();
+    }
+
+    /** Returns all known nodes. */
+    public Stream<KnownNode> nodes() {
+        return nodes.values().stream();
+    }
+
+    /** Returns a node. */
+    public Optional<KnownNode> node(String nodeId) {
+        return Optional.ofNullable(nodes.get(nodeId));
+    }
+
+    /**
+     * Writes this node's row, again and again until it is stored or replaced.
+     *
+     * @param onStored called when this very content is stored; not called if another one follows before that
+     */
+    public void publish(KnownNode self, Runnable onStored) {
+        desired = self;
+        nodes.put(ownId, self);
+        write(self, onStored);
+    }
+
+    private void write(KnownNode self, Runnable onStored) {
+        if (desired != self) {
+            return;
+        }
+        if (writing || !watch.isLoaded()) {
+            control.after(RETRY_MILLIS / 4, () -> write(self, onStored));
+            return;
+        }
+        writing = true;
+        store.write(
+                TABLE,
+                ownId,
+                encode(self),
+                ownVersion,
+                result -> control.execute(() -> {
+                    writing = false;
+                    if (result.isRight()) {
+                        ownVersion = Math.max(ownVersion, result.get());
+                        onStored.run();
+                        return;
+                    }
+                    retry(self, onStored, result.getLeft());
+                }));
+    }
+
+    private void retry(KnownNode self, Runnable onStored, TableFailure failure) {
+        log.event("row-write-failed")
+                .with("table", TABLE)
+                .with("kind", failure.kind().name())
+                .with("cause", failure.detail())
+                .with("expectedVersion", ownVersion)
+                .write();
+        control.after(RETRY_MILLIS, () -> write(self, onStored));
+        if (failure.kind() == TableFailure.Kind.CONFLICT) {
+            store.read(
+                    TABLE,
+                    rows -> rows.forEach(read -> control.execute(() -> read.rows().stream()
+                            .filter(row -> row.key().equals(ownId))
+                            .forEach(row -> ownVersion = Math.max(ownVersion, row.version())))));
+        }
+    }
+
+    private void take(List<Row> changed) {
+        changed.forEach(row -> {
+            if (row.key().equals(ownId)) {
+                ownVersion = Math.max(ownVersion, row.version());
+            }
+            if (row.key().equals(ownId) && desired != null) {
+                // The own row can only be behind what this process knows of itself.
+                return;
+            }
+            if (row.removed()) {
+                nodes.remove(row.key());
+            } else {
+                decode(row).ifPresent(node -> nodes.put(row.key(), node));
+            }
+        });
+        onChanged.run();
+    }
+
+    private Optional<KnownNode> decode(Row row) {
+        try {
+            NodeRecord node = NodeRecord.parseFrom(row.value());
+            if (!node.getNodeId().equals(row.key()) || node.getHost().isEmpty()) {
+                throw new InvalidProtocolBufferException("names node '" + node.getNodeId() + "'");
+            }
+            Optional<Announcement> upstream =
+                    node.hasUpstream() ? Optional.of(decode(node.getUpstream())) : Optional.empty();
+            return Optional.of(new KnownNode(
+                    new PeerAddress(node.getNodeId(), node.getHost(), node.getPort()),
+                    node.getIncarnation(),
+                    node.getDataCentre(),
+                    node.getStopping(),
+                    upstream));
+        } catch (InvalidProtocolBufferException | IllegalArgumentException malformed) {
+            log.event("row-ignored")
+                    .with("table", TABLE)
+                    .with("key", row.key())
+                    .with("cause", malformed.getMessage())
+                    .write();
+            return Optional.empty();
+        }
+    }
+
+    private static Announcement decode(UpstreamRecord upstream) {
+        return new Announcement(
+                upstream.getId(),
+                upstream.getBorn(),
+                upstream.getSequence(),
+                upstream.getService(),
+                upstream.getSlots(),
+                Phase.ofOrdinal(upstream.getPhase()),
+                0);
+    }
+
+    private static byte[] encode(KnownNode node) {
+        NodeRecord.Builder builder = NodeRecord.newBuilder()
+                .setNodeId(node.address().nodeId())
+                .setIncarnation(node.incarnation())
+                .setHost(node.address().host())
+                .setPort(node.address().port())
+                .setDataCentre(node.dataCentre())
+                .setStopping(node.stopping());
+        node.upstream()
+                .ifPresent(upstream -> builder.setUpstream(UpstreamRecord.newBuilder()
+                        .setId(upstream.id())
+                        .setBorn(upstream.born())
+                        .setSequence(upstream.sequence())
+                        .setService(upstream.service())
+                        .setSlots(upstream.slots())
+                        .setPhase(upstream.phase().ordinal())));
+        return builder.build().toByteArray();
+    }
+}
--- /dev/null
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
@@ -0,0 +1,212 @@
+package org.sardineshunt.engine.peer;
+
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.vavr.control.Either;
+import org.sardineshunt.engine.ControlLoop;
+import org.sardineshunt.engine.EventLog;
+import org.sardineshunt.engine.protocol.EngineMessages.Answer;
+import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
+import org.sardineshunt.engine.protocol.EngineMessages.Frame;
+import org.sardineshunt.engine.protocol.EngineMessages.Hello;
+import org.sardineshunt.engine.protocol.EngineMessages.Inquiry;
+import org.sardineshunt.engine.protocol.EngineMessages.Pong;
+
+/** Links to and from other nodes, opened on use. Belongs to the control thread, but for {@link #listen}. */
+public final class PeerNetwork {
+    private static final int PROTOCOL_VERSION = 1;
+    private static final int LARGEST_FRAME = 72 << 20;
+    private static final int CONNECT_TIMEOUT_MILLIS = 600;
+    private static final long UNREACHABLE_MILLIS = 2_000;
+
+    private final ControlLoop control;
+    private final EventLog log;
+    private final EventLoopGroup loops;
+    private final Hello ownHello;
+    private final Map<PeerAddress, PeerLink> links = new HashMap<>();
+    private final Map<PeerAddress, Long> unreachable = new HashMap<>();
+    private Handlers handlers;
+    private Channel listener;
+
+    /** Creates a network without links. */
+    public PeerNetwork(ControlLoop control, EventLog log, EventLoopGroup loops, String nodeId, long incarnation) {
+        this.control = control;
+        this.log = log;
+        this.loops = loops;
+        ownHello = Hello.newBuilder()
+                .setProtocolVersion(PROTOCOL_VERSION)
+                .setNodeId(nodeId)
+                .setIncarnation(incarnation)
+                .build();
+    }
+
+    /** Starts listening and returns the port; port 0 lets the system choose. */
+    public int listen(InetSocketAddress address, Handlers newHandlers) {
+        handlers = newHandlers;
+        listener = new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        FrameChannel.install(channel, LARGEST_FRAME, control, new Incoming());
+                    }
+                })
+                .bind(address)
+                .syncUninterruptibly()
+                .channel();
+        return ((InetSocketAddress) listener.localAddress()).getPort();
+    }
+
+    /** Sends an attempt to a home and returns an action that cancels it. */
+    public Runnable attempt(PeerAddress home, Attempt attempt, Consumer<Either<PeerFailure, Answer>> onResult) {
+        return link(home).call(Frame.newBuilder().setAttempt(attempt), onResult);
+    }
+
+    /** Asks a home, over a new link if need be, how an attempt ended. */
+    public void inquire(PeerAddress home, Inquiry inquiry, Consumer<Either<PeerFailure, Answer>> onResult) {
+        link(home).call(Frame.newBuilder().setInquiry(inquiry), onResult);
+    }
+
+    /** Sends a frame without a reply to some nodes; those that could not be reached a moment ago are left out. */
+    public void tell(Collection<PeerAddress> nodes, Frame frame) {
+        long now = control.nowMillis();
+        unreachable.values().removeIf(until -> until <= now);
+        nodes.stream().filter(node -> !unreachable.containsKey(node)).forEach(node -> link(node)
+                .send(frame));
+    }
+
+    /** Closes the listener and all links. */
+    public void close() {
+        if (listener != null) {
+            listener.close();
+        }
+        java.util.List.copyOf(links.values()).forEach(link -> link.close("this node stops"));
+    }
+
+    private PeerLink link(PeerAddress address) {
+        PeerLink known = links.get(address);
+        if (known != null && !known.isClosed()) {
+            return known;
+        }
+        PeerLink link = new PeerLink(address, ownHello, control, this::forget);
+        links.put(address, link);
+        new Bootstrap()
+                .group(loops)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        FrameChannel.install(channel, LARGEST_FRAME, control, link);
+                    }
+                })
+                .connect(new InetSocketAddress(address.host(), address.port()))
+                .addListener(connected -> {
+                    if (!connected.isSuccess()) {
+                        String cause = String.valueOf(connected.cause().getMessage());
+                        control.execute(() -> {
+                            unreachable.put(address, control.nowMillis() + UNREACHABLE_MILLIS);
+                            link.close(cause);
+                        });
+                    }
+                });
+        return link;
+    }
+
+    private void forget(PeerLink link) {
+        links.remove(link.address(), link);
+    }
+
+    /** Takes what other nodes send, on the control thread. */
+    public interface Handlers {
+        /** Runs an attempt and returns an action that cancels it. */
+        Runnable attempt(Attempt attempt, Consumer<Answer> onAnswer);
+
+        /** Tells the end of an attempt whose link was lost. */
+        void inquire(Inquiry inquiry, Consumer<Answer> onAnswer);
+
+        /** Takes a frame without a reply. */
+        void told(String nodeId, Frame frame);
+    }
+
+    /** The called end of one link. */
+    private final class Incoming implements FrameChannel.Listener {
+        private final Map<Long, Runnable> cancellations = new HashMap<>();
+        private String nodeId = "";
+        private boolean open;
+
+        @Override
+        public void opened(FrameChannel frames) {
+            open = true;
+            frames.send(Frame.newBuilder().setHello(ownHello).build());
+        }
+
+        @Override
+        public void received(FrameChannel frames, Frame frame) {
+            long correlation = frame.getCorrelation();
+            switch (frame.getBodyCase()) {
+                case HELLO -> accept(frames, frame.getHello());
+                case PING -> frames.send(
+                        Frame.newBuilder().setPong(Pong.getDefaultInstance()).build());
+                case ATTEMPT -> cancellations.put(
+                        correlation,
+                        handlers.attempt(
+                                frame.getAttempt(),
+                                answer -> control.execute(() -> reply(frames, correlation, answer))));
+                case INQUIRY -> handlers.inquire(frame.getInquiry(), answer -> reply(frames, correlation, answer));
+                case CANCEL -> cancel(correlation);
+                default -> handlers.told(nodeId, frame);
+            }
+        }
+
+        @Override
+        public void closed(FrameChannel frames, String cause) {
+            open = false;
+            cancellations.clear();
+        }
+
+        private void accept(FrameChannel frames, Hello hello) {
+            nodeId = hello.getNodeId();
+            if (hello.getProtocolVersion() != PROTOCOL_VERSION) {
+                log.event("peer-refused")
+                        .with("peer", nodeId)
+                        .with("protocol", hello.getProtocolVersion())
+                        .write();
+                frames.close();
+            }
+        }
+
+        private void reply(FrameChannel frames, long correlation, Answer answer) {
+            cancellations.remove(correlation);
+            if (open) {
+                frames.send(Frame.newBuilder()
+                        .setCorrelation(correlation)
+                        .setAnswer(answer)
+                        .build());
+            }
+        }
+
+        private void cancel(long correlation) {
+            Runnable cancellation = cancellations.remove(correlation);
+            if (cancellation != null) {
+                cancellation.run();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/package-info.java
@@ -0,0 +1,2 @@
+/** What engines say to one another. */
+package org.sardineshunt.engine.peer;
--- /dev/null
+++ b/engine/src/main/java/org/sardineshunt/engine/platform/package-info.java
@@ -0,0 +1,2 @@
+/** What the engine asks of the table that the platform runs. */
+package org.sardineshunt.engine.platform;
