Judge latencies by the route's target, and keep doubted upstreams away

Cause: requests that only test routes take 3 ms and made 'usual' 4 ms, so each real request counted as slow and all homes ended unhealthy; unhealthy ones held by the floor got as much work as healthy ones. Ruled out: lost health reports (entries saw the condition). A failure in no time now counts twice, so a gray upstream is out after one request.

--- a/coordination/src/main/java/org/sardineshunt/coordination/health/HealthPolicy.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/health/HealthPolicy.java
@@ -18,6 +18,7 @@
     final long longestEjectionMillis;
     final long relapseWindowMillis;
     final int trialSuccesses;
+    final double fastFailureShare;
 
     private HealthPolicy(Builder builder) {
         unhealthyFailureShare = builder.unhealthyFailureShare;
@@ -30,6 +31,7 @@
         longestEjectionMillis = builder.longestEjectionMillis;
         relapseWindowMillis = builder.relapseWindowMillis;
         trialSuccesses = builder.trialSuccesses;
+        fastFailureShare = builder.fastFailureShare;
     }
 
     /** Returns a builder with defaults for services with latencies of milliseconds to seconds. */
@@ -49,6 +51,7 @@
         private long longestEjectionMillis = 300_000;
         private long relapseWindowMillis = 120_000;
         private int trialSuccesses = 10;
+        private double fastFailureShare;
 
         private Builder() {}
 
@@ -97,6 +100,14 @@
             return this;
         }
 
+        /**
+         * Sets the share of the usual latency below which a failure counts twice; 0, the default, for never.
+         */
+        public Builder fastFailureShare(double share) {
+            fastFailureShare = share;
+            return this;
+        }
+
         /**
          * Sets how long ejections last, in milliseconds.
          *
--- a/coordination/src/main/java/org/sardineshunt/coordination/health/UpstreamHealth.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/health/UpstreamHealth.java
@@ -59,6 +59,9 @@
         recentRequests++;
         recentFailures += failed ? 1 : 0;
         addFailureEvidence(failed);
+        if (failed && isFast(latencyMillis)) {
+            addFailureEvidence(true);
+        }
         if (!failed) {
             addSlowEvidence(latencyMillis > slowLimitMillis());
             latencies[latencyCount++ % LATENCY_WINDOW] = latencyMillis;
@@ -102,6 +105,12 @@
         return sample;
     }
 
+    // Ordinary errors come after some work; a failure in no time at all is that of an upstream that doesn't work.
+    private boolean isFast(double latencyMillis) {
+        double usual = baseline.medianLatencyMillis() > 0 ? baseline.medianLatencyMillis() : median();
+        return policy.fastFailureShare > 0 && usual > 0 && latencyMillis < usual * policy.fastFailureShare;
+    }
+
     private void addFailureEvidence(boolean failed) {
         double usual = Math.max(policy.usualFailureShare, baseline.failureShare());
         double unhealthy =
--- a/coordination/src/main/java/org/sardineshunt/coordination/placement/PlacementPolicy.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/placement/PlacementPolicy.java
@@ -28,6 +28,11 @@
 public final class PlacementPolicy {
     private static final double UNKNOWN_SERVICE_MILLIS = 200;
 
+    // Waits for which work is rather kept away from an upstream that failed a moment ago, or still fails but is held in
+    // rotation by the floor.
+    private static final double TRIAL_COST_MILLIS = 1_000;
+    private static final double UNHEALTHY_COST_MILLIS = 4_000;
+
     // Among homes with a free slot the emptier one is preferred: a report of its load may be out of date.
     private static final double LOAD_WEIGHT = 0.2;
 
@@ -64,10 +69,10 @@
                 .filter(home -> home.condition() == Condition.TRIAL && home.busy() == 0 && !home.avoided())
                 .toList();
         if (idempotent && tried.isEmpty() && !onTrial.isEmpty() && random.getAsDouble() < trialShare) {
-            return Optional.of(new Choice(onTrial.get(0).nodeId(), true));
+            return Optional.of(new Choice(onTrial.get(0), true));
         }
         return best(left.stream().filter(home -> inUse.contains(home.nodeId())).toList(), random)
-                .map(home -> new Choice(home.nodeId(), home.condition() != Condition.HEALTHY));
+                .map(home -> new Choice(home, home.condition() != Condition.HEALTHY));
     }
 
     /** Returns the expected time until a new request at this home is answered, in milliseconds. */
@@ -107,14 +112,24 @@
 
     private double cost(HomeView home) {
         double load = (double) home.busy() / Math.max(1, home.slots());
-        return expectedMillis(home) * (1 + LOAD_WEIGHT * Math.min(1, load)) + (home.near() ? 0 : farCostMillis);
+        return expectedMillis(home) * (1 + LOAD_WEIGHT * Math.min(1, load))
+                + (home.near() ? 0 : farCostMillis)
+                + doubt(home);
+    }
+
+    private static double doubt(HomeView home) {
+        return switch (home.condition()) {
+            case HEALTHY -> 0;
+            case TRIAL -> TRIAL_COST_MILLIS;
+            case UNHEALTHY -> UNHEALTHY_COST_MILLIS;
+        };
     }
 
     /**
      * A chosen home.
      *
-     * @param nodeId the home
+     * @param home the home as it was seen
      * @param lastResort whether its upstream isn't healthy and the home should run the work all the same
      */
-    public record Choice(String nodeId, boolean lastResort) {}
+    public record Choice(HomeView home, boolean lastResort) {}
 }
--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -4,6 +4,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -33,6 +34,7 @@
 import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
 import org.sardineshunt.engine.protocol.EngineMessages.CrashReport;
 import org.sardineshunt.engine.protocol.EngineMessages.Frame;
+import org.sardineshunt.engine.protocol.EngineMessages.HomeLoad;
 import org.sardineshunt.engine.protocol.EngineMessages.Inquiry;
 
 /**
@@ -113,8 +115,7 @@
         directory = new Directory(control, log, store, settings.nodeId(), random, this::directoryChanged);
         homeTable = new HomeTable(control, directory, settings.dataCentre());
         EngineContext context = new EngineContext(control, log, counters, settings, incarnation, crashes, random);
-        home = new HomeService(context, upstreamClient, homeTable::baseline);
-        home.listener(new HomeListener());
+        home = new HomeService(context, upstreamClient, homeTable::baseline, new HomeListener());
         PlacementPolicy placement = new PlacementPolicy(
                 Rotation.builder().floorShare(settings.limits().floorShare()).build(), FAR_COST_MILLIS, TRIAL_SHARE);
         entry = new EntryService(
@@ -261,14 +262,18 @@
 
     private void shareLoad() {
         loadScheduled = false;
-        homeTable.report(settings.nodeId(), home.load());
+        tellLoad(homeTable.near());
+    }
+
+    private void tellLoad(Stream<KnownNode> nodes) {
+        HomeLoad load = home.load();
+        homeTable.report(settings.nodeId(), load);
         network.tell(
-                homeTable
-                        .near()
-                        .filter(node -> !node.address().nodeId().equals(settings.nodeId()) && !node.stopping())
+                nodes.filter(node -> !node.stopping())
                         .map(KnownNode::address)
+                        .filter(address -> !address.nodeId().equals(settings.nodeId()))
                         .toList(),
-                Frame.newBuilder().setLoad(home.load()).build());
+                Frame.newBuilder().setLoad(load).build());
     }
 
     private final class HomeListener implements HomeService.Listener {
@@ -280,6 +285,11 @@
             }
         }
 
+        @Override
+        public void healthChanged() {
+            tellLoad(directory.nodes());
+        }
+
         @Override
         public void crashed(long fingerprint, String upstreamId) {
             CrashReport report = CrashReport.newBuilder()
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
@@ -12,9 +12,6 @@
 import org.sardineshunt.coordination.announcement.Announcement;
 import org.sardineshunt.coordination.announcement.Announcement.Phase;
 import org.sardineshunt.coordination.announcement.AnnouncementLedger;
-import org.sardineshunt.coordination.health.HealthPolicy;
-import org.sardineshunt.coordination.health.UpstreamHealth;
-import org.sardineshunt.coordination.health.UpstreamHealth.Outcome;
 import org.sardineshunt.coordination.limit.HomeGate;
 import org.sardineshunt.coordination.limit.Work;
 import org.sardineshunt.coordination.once.AttemptLedger;
@@ -40,11 +37,9 @@
     private static final long ANSWER_RETENTION_MILLIS = 5_000;
     private static final long LONGEST_IDLE_MILLIS = 4_000;
     private static final long REFUSED_PAUSE_MILLIS = 400;
-    private static final long CRASH_WINDOW_MILLIS = 3_000;
     private static final long EXPIRY_PERIOD_MILLIS = 1_000;
-    private static final double AMPLE_SERVICE_TIMES = 4;
-    private static final double SERVICE_MILLIS_WEIGHT = 0.1;
-    private static final double FAILURE_WEIGHT = 0.05;
+    private static final double SERVICE_ALLOWANCE = 1.2;
+    private static final double SHORTEST_SERVICE_MILLIS = 50;
     private static final long UPSTREAM_MARGIN_MILLIS = 15;
 
     private final ControlLoop control;
@@ -53,27 +48,23 @@
     private final EngineSettings settings;
     private final HttpClient client;
     private final UpstreamCall upstreamCall;
-    private final GroupBaseline baseline;
+    private final UpstreamJudge judge;
+    private final Listener listener;
     private final CrashGuard crashes;
     private final AnnouncementLedger announcements = new AnnouncementLedger();
     private final AttemptLedger<Answer> attempts = new AttemptLedger<>(ANSWER_RETENTION_MILLIS);
     private final Map<String, PendingAttempt> pending = new HashMap<>();
-    private final Map<Long, Long> brokenAtMillis = new HashMap<>();
     private final long incarnation;
     private HomeGate<PendingAttempt> gate = UpstreamGate.create();
-    private UpstreamHealth health = newHealth();
-    private Listener listener;
     private String upstreamId = "";
     private String misdirectedId = "";
-    private double serviceMillis;
-    private double failureShare;
     private long pausedUntilMillis = Long.MIN_VALUE;
     private long loadSequence;
     private boolean stopping;
     private boolean expiryScheduled;
 
     /** Creates a home that knows no upstream. */
-    public HomeService(EngineContext context, HttpClient client, GroupBaseline baseline) {
+    public HomeService(EngineContext context, HttpClient client, GroupBaseline baseline, Listener listener) {
         control = context.control();
         log = context.log();
         counters = context.counters();
@@ -81,15 +72,11 @@
         crashes = context.crashes();
         incarnation = context.incarnation();
         this.client = client;
-        this.baseline = baseline;
+        this.listener = listener;
+        judge = new UpstreamJudge(context, baseline, listener);
         upstreamCall = new UpstreamCall(settings.headers());
     }
 
-    /** Sets who is told of changes. */
-    public void listener(Listener newListener) {
-        listener = newListener;
-    }
-
     /** Returns what the upstream last said of itself. */
     public Optional<Announcement> announcement() {
         return announcements.current();
@@ -147,6 +134,9 @@
         }
         if (offered.get()) {
             start(work);
+        } else {
+            double needed = Math.max(SHORTEST_SERVICE_MILLIS, SERVICE_ALLOWANCE * judge.serviceMillis());
+            control.after((long) Math.max(1, attempt.getLeftMillis() - needed), () -> giveUpWaiting(work));
         }
         listener.loadChanged();
         return () -> cancel(id);
@@ -184,10 +174,10 @@
                 .setInFlight(gate.inFlight())
                 .setWaiting(gate.queued())
                 .setSlots(slots)
-                .setServiceMillis((int) serviceMillis)
-                .setCondition(health.condition(now).ordinal())
+                .setServiceMillis((int) judge.serviceMillis())
+                .setCondition(judge.condition().ordinal())
                 .setAccepting(isAccepting(now))
-                .setFailurePermille((int) (failureShare * 1_000))
+                .setFailurePermille(judge.failurePermille())
                 .setSequence(++loadSequence)
                 .setIncarnation(incarnation)
                 .build();
@@ -220,13 +210,11 @@
     }
 
     private void startedAgain(Announcement now) {
-        blameBroken("a new start '" + now.id() + "' was announced");
         refuseWaiting(Reason.NO_UPSTREAM);
         client.forget(settings.upstreamAddress());
         upstreamId = now.id();
         misdirectedId = "";
-        health = newHealth();
-        failureShare = 0;
+        judge.startedAgain(now.id());
     }
 
     private Optional<Reason> objection(long now, Attempt attempt) {
@@ -243,7 +231,7 @@
         if (!isAccepting(now)) {
             return Optional.of(Reason.BACKEND_SERVER_REFUSED);
         }
-        if (!attempt.getLastResort() && health.condition(now) == Condition.UNHEALTHY) {
+        if (!attempt.getLastResort() && judge.condition() == Condition.UNHEALTHY) {
             return Optional.of(Reason.OUT_OF_ROTATION);
         }
         return crashes.refuses(now, String.valueOf(attempt.getFingerprint()))
@@ -280,21 +268,7 @@
                         upstreamCall.request(attempt, upstreamId, Math.max(1, leftMillis - UPSTREAM_MARGIN_MILLIS)),
                         new HttpClient.Options(leftMillis, LONGEST_IDLE_MILLIS),
                         outcome -> control.execute(() -> ended(work, outcome))));
-        watchOverdue(work);
-    }
-
-    private void watchOverdue(PendingAttempt work) {
-        health.baseline(baseline.of(work.attempt().getService()));
-        double limit = health.slowLimitMillis();
-        if (limit < work.attempt().getLeftMillis()) {
-            UpstreamHealth watched = health;
-            control.after((long) limit + 1, () -> {
-                boolean runs = pending.get(work.attempt().getAttemptId()) == work;
-                if (runs && watched == health && work.becomesOverdue(control.nowMillis(), limit)) {
-                    noteHealth(() -> health.recordOverdue(control.nowMillis()));
-                }
-            });
-        }
+        judge.watch(work);
     }
 
     private void ended(PendingAttempt work, HttpOutcome outcome) {
@@ -304,9 +278,10 @@
         long millis = now - work.startedMillis();
         Answer.Builder builder = upstreamCall.answer(outcome);
         boolean success = builder.getVerdict() == Verdict.RAN.ordinal() && builder.getStatus() < 500;
-        judge(work, outcome, success, millis);
+        notePath(outcome);
+        judge.ended(work, outcome, success, millis);
         pending.remove(id);
-        List<Work<PendingAttempt>> next = gate.finish(now, success ? millis : -1);
+        List<Work<PendingAttempt>> next = gate.finish(now, success ? judge.serviceMillis() : -1);
         Answer answer = builder.setLoad(load()).build();
         if (answer.getVerdict() == Verdict.NOT_RUN.ordinal()) {
             attempts.refuse(now, id);
@@ -332,79 +307,13 @@
         listener.loadChanged();
     }
 
-    private void judge(PendingAttempt work, HttpOutcome outcome, boolean success, long millis) {
-        long now = control.nowMillis();
-        Attempt attempt = work.attempt();
-        if (outcome instanceof HttpOutcome.Failed failed) {
-            judgeFailure(attempt, failed);
-            if (failed.kind() == HttpOutcome.Kind.CANCELLED || failed.kind() == HttpOutcome.Kind.CONNECT) {
-                return;
-            }
-        }
+    private void notePath(HttpOutcome outcome) {
         if (UpstreamCall.isMisdirected(outcome)) {
             misdirectedId = upstreamId;
-            return;
-        }
-        boolean shortOfTime = !success
-                && outcome instanceof HttpOutcome.Failed failed
-                && failed.kind() == HttpOutcome.Kind.TIMEOUT
-                && attempt.getLeftMillis() < AMPLE_SERVICE_TIMES * serviceMillis;
-        if (shortOfTime || work.wasOverdue() && success) {
-            return;
-        }
-        failureShare += ((success ? 0 : 1) - failureShare) * FAILURE_WEIGHT;
-        if (success) {
-            crashes.recordAnswer(String.valueOf(attempt.getFingerprint()));
-            serviceMillis =
-                    serviceMillis == 0 ? millis : serviceMillis + (millis - serviceMillis) * SERVICE_MILLIS_WEIGHT;
-        }
-        health.baseline(baseline.of(attempt.getService()));
-        noteHealth(() -> health.record(now, success ? Outcome.SUCCESS : Outcome.FAILURE, millis));
-    }
-
-    private void judgeFailure(Attempt attempt, HttpOutcome.Failed failed) {
-        long now = control.nowMillis();
-        if (failed.kind() == HttpOutcome.Kind.CONNECT) {
-            blameBroken("the upstream refuses connections");
-            pausedUntilMillis = now + REFUSED_PAUSE_MILLIS;
+        } else if (outcome instanceof HttpOutcome.Failed failed && failed.kind() == HttpOutcome.Kind.CONNECT) {
+            pausedUntilMillis = control.nowMillis() + REFUSED_PAUSE_MILLIS;
             refuseWaiting(Reason.BACKEND_SERVER_REFUSED);
             control.after(REFUSED_PAUSE_MILLIS + 1, listener::loadChanged);
-        } else if (failed.kind() == HttpOutcome.Kind.CLOSED) {
-            brokenAtMillis.put(attempt.getFingerprint(), now);
-        }
-    }
-
-    // A request whose connection broke shortly before its upstream was found down is suspected to have crashed it.
-    private void blameBroken(String cause) {
-        long now = control.nowMillis();
-        brokenAtMillis.values().removeIf(at -> now - at > CRASH_WINDOW_MILLIS);
-        brokenAtMillis.keySet().forEach(fingerprint -> {
-            if (crashes.recordCrash(now, String.valueOf(fingerprint), upstreamId)) {
-                log.event("upstream-crashed")
-                        .with("upstream", upstreamId)
-                        .with("fingerprint", Long.toHexString(fingerprint))
-                        .with("cause", cause)
-                        .write();
-                listener.crashed(fingerprint, upstreamId);
-            }
-        });
-        brokenAtMillis.clear();
-    }
-
-    private void noteHealth(Runnable evidence) {
-        Condition before = health.condition(control.nowMillis());
-        evidence.run();
-        Condition after = health.condition(control.nowMillis());
-        if (before != after) {
-            log.event("upstream-health")
-                    .with("upstream", upstreamId)
-                    .with("before", before.name())
-                    .with("after", after.name())
-                    .with("severity", health.severity())
-                    .with("failurePermille", (long) (failureShare * 1_000))
-                    .write();
-            counters.count("health_changes", after.name());
-            listener.loadChanged();
         }
     }
 
@@ -420,6 +329,12 @@
         }
     }
 
+    private void giveUpWaiting(PendingAttempt work) {
+        if (gate.remove(work.attempt().getAttemptId()).isPresent()) {
+            refuse(work, Reason.DEADLINE_SLACK);
+        }
+    }
+
     private void startWaiting(long now) {
         gate.limit(now, limit(now)).forEach(work -> start(work.payload()));
     }
@@ -440,7 +355,7 @@
                 .with("reason", reason.label())
                 .with("inFlight", gate.inFlight())
                 .with("waiting", gate.queued())
-                .with("serviceMillis", (long) serviceMillis)
+                .with("serviceMillis", (long) judge.serviceMillis())
                 .with("leftMillis", work.attempt().getLeftMillis())
                 .write();
         work.end(refusal(work.attempt(), reason));
@@ -460,7 +375,6 @@
         control.after(EXPIRY_PERIOD_MILLIS, () -> {
             expiryScheduled = false;
             long now = control.nowMillis();
-            gate.removeExpired(now).forEach(work -> refuse(work.payload(), Reason.DEADLINE_SLACK));
             attempts.expire(now);
             crashes.expire(now);
             if (attempts.size() > 0) {
@@ -469,23 +383,14 @@
         });
     }
 
-    private static UpstreamHealth newHealth() {
-        return new UpstreamHealth(HealthPolicy.builder()
-                .usualFailureShare(0.012)
-                .unhealthyFailureShare(0.4)
-                .ejectionScore(6)
-                .minimumSlowMillis(250)
-                .slowFactor(6)
-                .ejectionMillis(1_500, 2_000, 4_000)
-                .trialSuccesses(2)
-                .build());
-    }
-
     /** Takes what the rest of the node must know, on the control thread. */
     public interface Listener {
         /** The load or health that other nodes see has changed. */
         void loadChanged();
 
+        /** The upstream's health has changed, or it takes work again or no more. */
+        void healthChanged();
+
         /** A request seems to have crashed the upstream. */
         void crashed(long fingerprint, String upstreamId);
     }
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/PendingAttempt.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/PendingAttempt.java
@@ -16,6 +16,7 @@
     private HttpClient.Call call;
     private long startedMillis;
     private boolean overdue;
+    private boolean ended;
 
     PendingAttempt(Attempt attempt, long arrivedMillis, Consumer<Answer> listener) {
         this.attempt = attempt;
@@ -41,8 +42,8 @@
     }
 
     /** Returns whether the attempt has just become overdue; tells it once. */
-    boolean becomesOverdue(long nowMillis, double limitMillis) {
-        if (overdue || nowMillis - startedMillis <= limitMillis) {
+    boolean becomesOverdue(long nowMillis, long limitMillis) {
+        if (ended || overdue || nowMillis - startedMillis <= limitMillis) {
             return false;
         }
         overdue = true;
@@ -64,6 +65,7 @@
     }
 
     void end(Answer answer) {
+        ended = true;
         listeners.forEach(listener -> listener.accept(answer));
     }
 }
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamCall.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamCall.java
@@ -20,6 +20,7 @@
 /** Builds the request to an upstream and says what its outcome proves. Immutable and thread-safe. */
 final class UpstreamCall {
     private static final int MISDIRECTED = 421;
+    private static final int GATEWAY_TIMEOUT = 504;
 
     private final RequestHeaders headers;
 
@@ -67,6 +68,11 @@
         return outcome instanceof Answered answered && answered.answer().status() == MISDIRECTED;
     }
 
+    /** Returns whether an upstream ended a request because its time was over. */
+    static boolean isDeadlinePassed(HttpOutcome outcome) {
+        return outcome instanceof Answered answered && answered.answer().status() == GATEWAY_TIMEOUT;
+    }
+
     static Answer.Builder failure(Verdict verdict, Reason reason, boolean offered) {
         return Answer.newBuilder()
                 .setVerdict(verdict.ordinal())
--- a/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
@@ -15,6 +15,7 @@
 import org.sardineshunt.coordination.Rendezvous;
 import org.sardineshunt.coordination.Verdict;
 import org.sardineshunt.coordination.once.CrashGuard;
+import org.sardineshunt.coordination.placement.HomeView;
 import org.sardineshunt.coordination.placement.PlacementPolicy;
 import org.sardineshunt.coordination.retry.RetryBudget;
 import org.sardineshunt.coordination.route.FleetConfiguration;
@@ -136,7 +137,7 @@
     private void dispatch(Flow flow) {
         long left = flow.deadlineMillis - control.nowMillis();
         if (left < SHORTEST_LEFT_MILLIS) {
-            timeOut(flow);
+            giveUp(flow);
             return;
         }
         Optional<PlacementPolicy.Choice> choice = placement.choose(
@@ -149,12 +150,24 @@
     }
 
     private void send(Flow flow, PlacementPolicy.Choice choice, long left) {
-        String home = choice.nodeId();
+        HomeView view = choice.home();
+        String home = view.nodeId();
         String attemptId = settings.nodeId() + '/' + incarnation + '/' + ++lastAttempt;
         flow.tried.add(home);
         flow.lastHome = home;
         flow.attempts++;
         homeTable.sent(home);
+        log.event("attempt-sent")
+                .with("request", flow.requestId)
+                .with("attempt", attemptId)
+                .with("home", home)
+                .with("condition", view.condition().name())
+                .with("busy", view.busy())
+                .with("serviceMillis", (long) view.serviceMillis())
+                .with("near", view.near())
+                .with("avoided", view.avoided())
+                .with("leftMillis", left)
+                .write();
         Attempt attempt = attempt(flow, attemptId, choice.lastResort(), left);
         flow.cancelAttempt = homes.attempt(home, attempt, result -> {
             homeTable.ended(home);
@@ -186,6 +199,7 @@
                 .setCallerService(settings.callerService())
                 .setLastResort(lastResort)
                 .setFingerprint(flow.fingerprint)
+                .setTargetMillis((int) flow.route.targetLatencyMillis())
                 .build();
     }
 
--- a/engine/src/main/java/org/sardineshunt/engine/caller/HomeTable.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/HomeTable.java
@@ -37,11 +37,12 @@
     /** Returns the homes of a service that take work as far as is known. */
     public List<HomeView> homes(String service) {
         long now = timers.nowMillis();
+        double usualMillis = baseline(service).medianLatencyMillis();
         return directory
                 .nodes()
                 .filter(node -> !node.stopping() && serves(node, service))
                 .sorted(java.util.Comparator.comparing(node -> node.address().nodeId()))
-                .map(node -> view(now, node))
+                .map(node -> view(now, node, usualMillis))
                 .toList();
     }
 
@@ -112,7 +113,7 @@
         return directory.nodes().filter(node -> node.dataCentre().equals(dataCentre));
     }
 
-    private HomeView view(long now, KnownNode node) {
+    private HomeView view(long now, KnownNode node, double usualMillis) {
         String nodeId = node.address().nodeId();
         Known home = home(nodeId);
         Announcement upstream = node.upstream().orElseThrow();
@@ -124,7 +125,7 @@
                 node.dataCentre().equals(dataCentre),
                 upstream.slots(),
                 Math.max(reported, home.outstanding),
-                home.load == null ? 0 : home.load.getServiceMillis(),
+                home.load == null || home.load.getServiceMillis() == 0 ? usualMillis : home.load.getServiceMillis(),
                 home.load == null ? Condition.HEALTHY : Condition.ofOrdinal(home.load.getCondition()),
                 refusing || now < home.avoidedUntilMillis);
     }
