Keep a leave that arrives before anything is known, and test the engine in small fleets

Cause: a leave that reached a restarted home before its row was read changed nothing, so the row brought the upstream back after the acknowledgement (found by reading; AnnouncementLedgerTest failed first).

--- a/coordination/src/main/java/org/sardineshunt/coordination/announcement/AnnouncementLedger.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/announcement/AnnouncementLedger.java
@@ -33,17 +33,23 @@
     }
 
     /**
-     * Takes the news that an upstream leaves.
+     * Takes the news that an upstream leaves, also when nothing is known of it: then no start of that name up to now comes
+     * back.
      *
      * @param born epoch milliseconds of its start, or 0 if the news doesn't say
+     * @param nowEpochMillis the time of day
      * @return whether it changed what is known
      */
-    public boolean leave(String id, long born) {
-        if (current == null || !current.id().equals(id)) {
+    public boolean leave(String id, long born, long nowEpochMillis) {
+        if (current == null) {
+            long lastBorn = born == 0 ? nowEpochMillis : born;
+            current = new Announcement(id, lastBorn, 0, "", 1, Phase.LEFT, 0);
+            return true;
+        }
+        if (!current.id().equals(id) || current.phase() == Phase.LEFT) {
             return false;
         }
-        boolean otherStart = born != 0 && current.born() != 0 && born != current.born();
-        if (otherStart || current.phase() == Phase.LEFT) {
+        if (born != 0 && current.born() != 0 && born != current.born()) {
             return false;
         }
         current = current.with(Phase.LEFT);
@@ -55,9 +61,12 @@
     }
 
     private boolean isLaterStart(String id, long born) {
-        if (born != current.born()) {
+        boolean sameName = current.id().equals(id);
+        boolean bothKnown = born != 0 && current.born() != 0;
+        if (sameName || bothKnown && current.phase() != Phase.LEFT) {
             return born > current.born();
         }
-        return !current.id().equals(id) && current.phase() == Phase.LEFT;
+        // Another upstream has taken the place of one that left, or one of the two doesn't say when it started.
+        return true;
     }
 }
--- a/coordination/src/main/java/org/sardineshunt/coordination/placement/PlacementPolicy.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/placement/PlacementPolicy.java
@@ -18,8 +18,8 @@
  * room there.
  *
  * <pre>{@code
- * PlacementPolicy policy = new PlacementPolicy(Rotation.builder().floorShare(0.7).build(), 150, 0.05);
- * Optional<PlacementPolicy.Choice> choice = policy.choose(homes, tried, request, random::nextDouble);
+ * PlacementPolicy policy = new PlacementPolicy(Rotation.builder().floorShare(0.7).build(), 0.05);
+ * Optional<PlacementPolicy.Choice> choice = policy.choose(homes, tried, new Need(true, 500), random::nextDouble);
  * }</pre>
  *
  * <p>Unhealthy homes are left out down to the rotation's floor. A home on trial receives a trickle of idempotent work.
@@ -37,19 +37,16 @@
     private static final double LOAD_WEIGHT = 0.2;
 
     private final Rotation rotation;
-    private final double farCostMillis;
     private final double trialShare;
 
     /**
      * Creates a policy.
      *
      * @param rotation decides which homes may be used at all
-     * @param farCostMillis expected wait for which work is rather kept in the own data centre
      * @param trialShare part of the idempotent work that is offered to homes on trial
      */
-    public PlacementPolicy(Rotation rotation, double farCostMillis, double trialShare) {
+    public PlacementPolicy(Rotation rotation, double trialShare) {
         this.rotation = rotation;
-        this.farCostMillis = farCostMillis;
         this.trialShare = trialShare;
     }
 
@@ -60,18 +57,17 @@
      * @param tried homes that have had this request already
      * @param random source of numbers from 0 to below 1
      */
-    public Optional<Choice> choose(
-            Collection<HomeView> homes, Set<String> tried, boolean idempotent, DoubleSupplier random) {
+    public Optional<Choice> choose(Collection<HomeView> homes, Set<String> tried, Need need, DoubleSupplier random) {
         Set<String> inUse = inUse(homes);
         List<HomeView> left =
                 homes.stream().filter(home -> !tried.contains(home.nodeId())).toList();
         List<HomeView> onTrial = left.stream()
                 .filter(home -> home.condition() == Condition.TRIAL && home.busy() == 0 && !home.avoided())
                 .toList();
-        if (idempotent && tried.isEmpty() && !onTrial.isEmpty() && random.getAsDouble() < trialShare) {
+        if (need.idempotent() && tried.isEmpty() && !onTrial.isEmpty() && random.getAsDouble() < trialShare) {
             return Optional.of(new Choice(onTrial.get(0), true));
         }
-        return best(left.stream().filter(home -> inUse.contains(home.nodeId())).toList(), random)
+        return best(left.stream().filter(home -> inUse.contains(home.nodeId())).toList(), need, random)
                 .map(home -> new Choice(home, home.condition() != Condition.HEALTHY));
     }
 
@@ -100,20 +96,20 @@
                 .collect(Collectors.toSet());
     }
 
-    private Optional<HomeView> best(List<HomeView> homes, DoubleSupplier random) {
+    private Optional<HomeView> best(List<HomeView> homes, Need need, DoubleSupplier random) {
         List<HomeView> usual = homes.stream().filter(home -> !home.avoided()).toList();
         double rotationStart = random.getAsDouble();
         List<HomeView> candidates = usual.isEmpty() ? homes : usual;
         int offset = (int) (rotationStart * Math.max(1, candidates.size()));
         return java.util.stream.IntStream.range(0, candidates.size())
                 .mapToObj(index -> candidates.get((index + offset) % candidates.size()))
-                .min(Comparator.comparingDouble(this::cost));
+                .min(Comparator.comparingDouble(home -> cost(home, need)));
     }
 
-    private double cost(HomeView home) {
+    private static double cost(HomeView home, Need need) {
         double load = (double) home.busy() / Math.max(1, home.slots());
         return expectedMillis(home) * (1 + LOAD_WEIGHT * Math.min(1, load))
-                + (home.near() ? 0 : farCostMillis)
+                + (home.near() ? 0 : need.farCostMillis())
                 + doubt(home);
     }
 
@@ -125,6 +121,14 @@
         };
     }
 
+    /**
+     * What a request needs of its home.
+     *
+     * @param idempotent whether running it twice is harmless
+     * @param farCostMillis expected wait for which it is rather kept in the own data centre
+     */
+    public record Need(boolean idempotent, double farCostMillis) {}
+
     /**
      * A chosen home.
      *
--- /dev/null
+++ b/coordination/src/test/java/org/sardineshunt/coordination/placement/PlacementPolicyTest.java
@@ -0,0 +1,91 @@
+package org.sardineshunt.coordination.placement;
+
+import java.util.List;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.sardineshunt.coordination.placement.PlacementPolicy.Need;
+import org.sardineshunt.coordination.rotation.Condition;
+import org.sardineshunt.coordination.rotation.Rotation;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class PlacementPolicyTest {
+    private static final Need BOOKING = new Need(false, 300);
+    private static final Need LOOKUP = new Need(true, 300);
+
+    private final PlacementPolicy policy =
+            new PlacementPolicy(Rotation.builder().floorShare(0.7).build(), 0.2);
+
+    @Test
+    void staysInTheOwnDataCentreWhileTheWaitThereIsShort() {
+        assertThat(chosen(BOOKING, near("a", 4), far("b", 0)), is("a"));
+    }
+
+    @Test
+    void goesToAnotherDataCentreWhenTheWaitIsLong() {
+        assertThat(chosen(BOOKING, near("a", 12), far("b", 0)), is("b"));
+    }
+
+    @Test
+    void prefersTheFasterUpstream() {
+        assertThat(
+                chosen(
+                        BOOKING,
+                        home("slow", true, 0, 900, Condition.HEALTHY),
+                        home("fast", true, 2, 400, Condition.HEALTHY)),
+                is("fast"));
+    }
+
+    /** A gray upstream fails in no time, so it always looks idle; its emptiness must not draw the work. */
+    @Test
+    void keepsWorkAwayFromAnIdleUnhealthyUpstreamThatTheFloorHoldsIn() {
+        assertThat(chosen(BOOKING, home("gray", true, 0, 5, Condition.UNHEALTHY), near("a", 9), near("b", 9)), is("a"));
+    }
+
+    @Test
+    void usesTheUnhealthyOnesWhenNothingElseIsLeft() {
+        assertThat(chosen(BOOKING, home("gray", true, 0, 5, Condition.UNHEALTHY)), is("gray"));
+    }
+
+    @Test
+    void triesAnUpstreamOnTrialOnlyWithIdempotentWork() {
+        HomeView onTrial = home("trial", true, 0, 400, Condition.TRIAL);
+        assertThat(chosen(LOOKUP, onTrial, near("a", 0), near("b", 0), near("c", 0)), is("trial"));
+        assertThat(chosen(BOOKING, onTrial, near("a", 0), near("b", 0), near("c", 0)), is("a"));
+    }
+
+    @Test
+    void triesNoHomeTwice() {
+        assertThat(
+                policy.choose(List.of(near("a", 0), near("b", 8)), Set.of("a"), BOOKING, () -> 0)
+                        .orElseThrow()
+                        .home()
+                        .nodeId(),
+                is("b"));
+        assertThat(
+                policy.choose(List.of(near("a", 0)), Set.of("a"), BOOKING, () -> 0)
+                        .isEmpty(),
+                is(true));
+    }
+
+    private String chosen(Need need, HomeView... homes) {
+        return policy.choose(List.of(homes), Set.of(), need, () -> 0)
+                .orElseThrow()
+                .home()
+                .nodeId();
+    }
+
+    private static HomeView near(String nodeId, int busy) {
+        return home(nodeId, true, busy, 400, Condition.HEALTHY);
+    }
+
+    private static HomeView far(String nodeId, int busy) {
+        return home(nodeId, false, busy, 400, Condition.HEALTHY);
+    }
+
+    private static HomeView home(String nodeId, boolean near, int busy, double millis, Condition condition) {
+        return new HomeView(nodeId, near, 4, busy, millis, condition, false);
+    }
+}
--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 
@@ -52,13 +53,14 @@
  */
 public final class Engine {
     private static final double TRIAL_SHARE = 0.2;
-    private static final double FAR_COST_MILLIS = 150;
     private static final int CRASH_VICTIMS = 2;
     private static final long CRASH_MEMORY_MILLIS = 120_000;
     private static final long LOAD_PERIOD_MILLIS = 30;
     private static final long STORED_LIMIT_MILLIS = 600;
     private static final long STOP_POLL_MILLIS = 100;
     private static final long STOP_QUIET_MILLIS = 300;
+    private static final long SHUTDOWN_QUIET_MILLIS = 50;
+    private static final long SHUTDOWN_LONGEST_MILLIS = 500;
     private static final long STOP_LONGEST_DETECTION_MILLIS = 2_300;
 
     private final EngineSettings settings;
@@ -110,25 +112,26 @@
         return trafficGroup;
     }
 
-    /** Starts listening and following the table; returns once both ports are open. */
-    public void start(TableStore store) {
+    /** Starts listening and following the table; returns the port for callers once both ports are open. */
+    public int start(TableStore store) {
         directory = new Directory(control, log, store, settings.nodeId(), random, this::directoryChanged);
         homeTable = new HomeTable(control, directory, settings.dataCentre());
         EngineContext context = new EngineContext(control, log, counters, settings, incarnation, crashes, random);
         home = new HomeService(context, upstreamClient, homeTable::baseline, new HomeListener());
         PlacementPolicy placement = new PlacementPolicy(
-                Rotation.builder().floorShare(settings.limits().floorShare()).build(), FAR_COST_MILLIS, TRIAL_SHARE);
+                Rotation.builder().floorShare(settings.limits().floorShare()).build(), TRIAL_SHARE);
         entry = new EntryService(
                 context, new ReachableHomes(), homeTable, placement, () -> Optional.ofNullable(configuration));
         int peerPort = network.listen(settings.peerAddress(), new PeerHandlers());
         ownAddress = new PeerAddress(settings.nodeId(), settings.peerAddress().getHostString(), peerPort);
-        callerServer.listen(trafficGroup, settings.callerAddress());
+        int callerPort = callerServer.listen(trafficGroup, settings.callerAddress());
         control.execute(directory::start);
         log.event("started")
                 .with("incarnation", incarnation)
                 .with("dataCentre", settings.dataCentre())
                 .with("service", settings.callerService())
                 .write();
+        return callerPort;
     }
 
     /** Adopts a configuration unless a newer one is in force. */
@@ -189,6 +192,19 @@
         return stopped;
     }
 
+    /** Ends at once, as a crash would; threads end soon after. */
+    public void kill() {
+        if (controlGroup.isShuttingDown()) {
+            return;
+        }
+        stopping = true;
+        callerServer.close();
+        upstreamClient.close();
+        control.execute(network::close);
+        controlGroup.shutdownGracefully(SHUTDOWN_QUIET_MILLIS, SHUTDOWN_LONGEST_MILLIS, TimeUnit.MILLISECONDS);
+        trafficGroup.shutdownGracefully(SHUTDOWN_QUIET_MILLIS, SHUTDOWN_LONGEST_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private void awaitIdle(long begun, CompletableFuture<Void> stopped) {
         long elapsed = control.nowMillis() - begun;
         boolean undetected = elapsed < STOP_LONGEST_DETECTION_MILLIS;
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
@@ -94,7 +94,7 @@
     /** Takes the news that the upstream leaves; returns whether it changed what other nodes must know. */
     public boolean leave(String id, long born) {
         Optional<Announcement> before = announcements.current();
-        return announcements.leave(id, born) && adopt(before);
+        return announcements.leave(id, born, System.currentTimeMillis()) && adopt(before);
     }
 
     /** Refuses all further attempts; those at hand go on. */
--- a/engine/src/main/java/org/sardineshunt/engine/peer/Directory.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/Directory.java
@@ -24,7 +24,7 @@
  */
 public final class Directory {
     private static final String TABLE = "sardineshunt-nodes";
-    private static final long PAUSE_MILLIS = 300;
+    private static final long PAUSE_MILLIS = 1_000;
     private static final long RETRY_MILLIS = 400;
 
     private final ControlLoop control;
--- a/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
@@ -3,7 +3,10 @@
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
@@ -37,6 +40,7 @@
     private final Hello ownHello;
     private final Map<PeerAddress, PeerLink> links = new HashMap<>();
     private final Map<PeerAddress, Long> unreachable = new HashMap<>();
+    private final Set<FrameChannel> accepted = new HashSet<>();
     private Handlers handlers;
     private Channel listener;
 
@@ -95,7 +99,8 @@
         if (listener != null) {
             listener.close();
         }
-        java.util.List.copyOf(links.values()).forEach(link -> link.close("this node stops"));
+        List.copyOf(links.values()).forEach(link -> link.close("this node stops"));
+        Set.copyOf(accepted).forEach(FrameChannel::close);
     }
 
     private PeerLink link(PeerAddress address) {
@@ -154,6 +159,7 @@
         @Override
         public void opened(FrameChannel frames) {
             open = true;
+            accepted.add(frames);
             frames.send(Frame.newBuilder().setHello(ownHello).build());
         }
 
@@ -178,6 +184,7 @@
         @Override
         public void closed(FrameChannel frames, String cause) {
             open = false;
+            accepted.remove(frames);
             cancellations.clear();
         }
 
--- a/engine/src/main/java/org/sardineshunt/engine/platform/TableWatch.java
+++ b/engine/src/main/java/org/sardineshunt/engine/platform/TableWatch.java
@@ -20,7 +20,7 @@
  * thread.
  */
 public final class TableWatch {
-    private static final long WAIT_MILLIS = 20_000;
+    private static final long WAIT_MILLIS = 30_000;
     private static final long FIRST_RETRY_MILLIS = 150;
     private static final long LONGEST_RETRY_MILLIS = 1_000;
 
--- /dev/null
+++ b/engine/src/test/java/org/sardineshunt/engine/Await.java
@@ -0,0 +1,24 @@
+package org.sardineshunt.engine;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+
+/** Waits for what other threads bring about. */
+public final class Await {
+    private static final long LONGEST_NANOS = TimeUnit.SECONDS.toNanos(20);
+    private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+
+    private Await() {}
+
+    /** Returns once a condition holds; fails the test if it doesn't for twenty seconds. */
+    public static void until(String what, BooleanSupplier condition) {
+        long limit = System.nanoTime() + LONGEST_NANOS;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > limit) {
+                throw new AssertionError("still not true: " + what);
+            }
+            LockSupport.parkNanos(POLL_NANOS);
+        }
+    }
+}
--- /dev/null
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
@@ -0,0 +1,168 @@
+package org.sardineshunt.engine;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.IntStream;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.sardineshunt.coordination.announcement.Announcement;
+import org.sardineshunt.coordination.announcement.Announcement.Phase;
+import org.sardineshunt.coordination.route.FleetConfiguration;
+import org.sardineshunt.coordination.route.FleetConfiguration.CallerLimits;
+import org.sardineshunt.coordination.route.Route;
+import org.sardineshunt.engine.http.HttpClient;
+import org.sardineshunt.engine.http.HttpField;
+import org.sardineshunt.engine.http.HttpOutcome;
+import org.sardineshunt.engine.http.HttpRequestData;
+
+/** A few engines in one process, each beside a fake upstream of the same service. */
+final class EngineFleet implements AutoCloseable {
+    static final String LOOKUP = "/lookup/";
+    static final String BOOKING = "/booking/";
+    private static final long BORN = 1_000;
+    private static final RequestHeaders HEADERS =
+            new RequestHeaders("X-Request", "X-Left", "X-Expected", "X-Caller", "X-Not-Run", "X-Signature");
+
+    private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final HttpClient client = new HttpClient((EventLoop) loops.next(), "X-Request");
+    private final List<FakeUpstream> upstreams = new ArrayList<>();
+    private final List<Engine> engines = new ArrayList<>();
+    private final List<Integer> callerPorts = new ArrayList<>();
+    private final List<String> lines = new CopyOnWriteArrayList<>();
+    private final FakeTable table = new FakeTable();
+    private int requests;
+
+    EngineFleet(int size) {
+        IntStream.range(0, size).forEach(index -> {
+            FakeUpstream upstream = new FakeUpstream(loops, "upstream-" + index);
+            upstreams.add(upstream);
+            Engine engine = engine(index);
+            engines.add(engine);
+            engine.configure(configuration(1, 4_000));
+            engine.announce(announcement(index, 1, Phase.READY), () -> {});
+        });
+        Await.until(
+                "all engines are ready and have told each other",
+                () -> engines.stream().allMatch(Engine::isReady)
+                        && lines.stream()
+                                        .filter(line -> line.contains("\"ready\""))
+                                        .count()
+                                == size);
+        IntStream.range(0, size)
+                .forEach(index -> Await.until(
+                        "engine " + index + " reaches all homes",
+                        () -> IntStream.range(0, 3 * size).allMatch(attempt -> status(index, "GET", LOOKUP) == 200)
+                                && upstreams.stream().allMatch(upstream -> !upstream.arrived()
+                                        .isEmpty())));
+        upstreams.forEach(upstream -> upstream.arrived().clear());
+    }
+
+    Engine engine(int index) {
+        EngineSettings settings = new EngineSettings(
+                "node-" + index,
+                "dc-1",
+                "service",
+                upstreams.get(index).address(),
+                new InetSocketAddress("127.0.0.1", 0),
+                new InetSocketAddress("127.0.0.1", 0),
+                HEADERS,
+                new EngineSettings.Limits(0.5, 1, 2_000, 3_000));
+        Engine engine = new Engine(settings, new EventLog("node-" + index, lines::add), new Counters());
+        int port = engine.start(table);
+        if (index < callerPorts.size()) {
+            callerPorts.set(index, port);
+        } else {
+            callerPorts.add(port);
+        }
+        return engine;
+    }
+
+    static Announcement announcement(int index, long sequence, Phase phase) {
+        return new Announcement("upstream-" + index, BORN, sequence, "service", 4, phase, 0);
+    }
+
+    static FleetConfiguration configuration(long version, long timeoutMillis) {
+        List<Route.Share> shares = List.of(new Route.Share("service", 1));
+        return new FleetConfiguration(
+                version,
+                List.of(
+                        new Route("lookup", "h", LOOKUP, true, 2, timeoutMillis, 1_000, 1, shares),
+                        new Route("booking", "h", BOOKING, false, 2, timeoutMillis, 1_000, 0, shares)),
+                List.of(new FleetConfiguration.Service("service", "", 100)),
+                CallerLimits.DEFAULT);
+    }
+
+    Engine node(int index) {
+        return engines.get(index);
+    }
+
+    /** Starts another engine in the place of one, as after a restart of the process. */
+    Engine restart(int index) {
+        engines.get(index).kill();
+        Engine engine = engine(index);
+        engines.set(index, engine);
+        return engine;
+    }
+
+    FakeUpstream upstream(int index) {
+        return upstreams.get(index);
+    }
+
+    FakeTable table() {
+        return table;
+    }
+
+    List<String> lines() {
+        return lines;
+    }
+
+    int arrivals() {
+        return upstreams.stream()
+                .mapToInt(upstream -> upstream.arrived().size())
+                .sum();
+    }
+
+    int status(int entry, String method, String path) {
+        HttpOutcome outcome = send(entry, method, path, 4_000).outcome().join();
+        return outcome instanceof HttpOutcome.Answered answered
+                ? answered.answer().status()
+                : 0;
+    }
+
+    Sent send(int entry, String method, String path, long leftMillis) {
+        CompletableFuture<HttpOutcome> outcome = new CompletableFuture<>();
+        String id = "request-" + ++requests;
+        HttpClient.Call call = client.send(
+                new InetSocketAddress("127.0.0.1", callerPorts.get(entry)),
+                new HttpRequestData(
+                        method,
+                        path + "x?q=1",
+                        List.of(
+                                new HttpField("Host", "h"),
+                                new HttpField("X-Request", id),
+                                new HttpField("X-Left", String.valueOf(leftMillis)),
+                                new HttpField("X-Caller", "forged"),
+                                new HttpField("X-Expected", "forged")),
+                        id.getBytes(StandardCharsets.UTF_8)),
+                new HttpClient.Options(10_000, 1_000),
+                outcome::complete);
+        return new Sent(id, call, outcome);
+    }
+
+    @Override
+    public void close() {
+        engines.forEach(Engine::kill);
+        client.close();
+        loops.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
+    }
+
+    /** A request that was sent. */
+    record Sent(String id, HttpClient.Call call, CompletableFuture<HttpOutcome> outcome) {}
+}
--- /dev/null
+++ b/engine/src/test/java/org/sardineshunt/engine/FakeTable.java
@@ -0,0 +1,126 @@
+package org.sardineshunt.engine;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import io.vavr.control.Either;
+import org.sardineshunt.engine.platform.TableStore;
+
+/** A table in memory whose outages and lost history tests switch on. Thread-safe. */
+public final class FakeTable implements TableStore {
+    private final Map<String, Map<String, Row>> tables = new LinkedHashMap<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private long version;
+    private long historyFrom;
+    private boolean down;
+    private boolean losingAnswers;
+
+    /** Refuses all calls, waiting ones too, until told otherwise. */
+    public synchronized void down(boolean isDown) {
+        down = isDown;
+        if (down) {
+            List<Watch> cut = List.copyOf(watches);
+            watches.clear();
+            cut.forEach(watch -> watch.onResult().accept(unavailable()));
+        }
+    }
+
+    /** Performs writes but answers none of them. */
+    public synchronized void losingAnswers(boolean losing) {
+        losingAnswers = losing;
+    }
+
+    /** Forgets the history: a watch from before gets told so. */
+    public synchronized void forgetHistory() {
+        historyFrom = version;
+        List<Watch> cut = List.copyOf(watches);
+        watches.clear();
+        cut.forEach(watch -> watch.onResult().accept(lost()));
+    }
+
+    /** Writes a row as another writer would. */
+    public synchronized void put(String table, String key, byte[] value) {
+        Row row = new Row(key, value, ++version, false);
+        rows(table).put(key, row);
+        List<Watch> told =
+                watches.stream().filter(watch -> watch.table().equals(table)).toList();
+        watches.removeAll(told);
+        told.forEach(watch -> watch.onResult().accept(Either.right(new TableRows(List.of(row), version))));
+    }
+
+    /** Returns a row's value, or null. */
+    public synchronized byte[] value(String table, String key) {
+        Row row = rows(table).get(key);
+        return row == null ? null : row.value();
+    }
+
+    @Override
+    public synchronized void read(String table, Consumer<Either<TableFailure, TableRows>> onResult) {
+        onResult.accept(
+                down
+                        ? unavailable()
+                        : Either.right(new TableRows(List.copyOf(rows(table).values()), version)));
+    }
+
+    @Override
+    public synchronized void changes(
+            String table, long afterVersion, long waitMillis, Consumer<Either<TableFailure, TableRows>> onResult) {
+        if (down) {
+            onResult.accept(unavailable());
+            return;
+        }
+        if (afterVersion < historyFrom) {
+            onResult.accept(lost());
+            return;
+        }
+        List<Row> changed = rows(table).values().stream()
+                .filter(row -> row.version() > afterVersion)
+                .toList();
+        if (changed.isEmpty()) {
+            watches.add(new Watch(table, onResult));
+        } else {
+            onResult.accept(Either.right(new TableRows(changed, version)));
+        }
+    }
+
+    @Override
+    public synchronized void write(
+            String table,
+            String key,
+            byte[] value,
+            long expectedVersion,
+            Consumer<Either<TableFailure, Long>> onResult) {
+        if (down) {
+            onResult.accept(Either.left(new TableFailure(TableFailure.Kind.UNAVAILABLE, "down")));
+            return;
+        }
+        Row current = rows(table).get(key);
+        long currentVersion = current == null ? 0 : current.version();
+        if (currentVersion != expectedVersion) {
+            onResult.accept(Either.left(new TableFailure(TableFailure.Kind.CONFLICT, "version " + currentVersion)));
+            return;
+        }
+        put(table, key, value);
+        onResult.accept(
+                losingAnswers
+                        ? Either.left(new TableFailure(TableFailure.Kind.UNAVAILABLE, "answer lost"))
+                        : Either.right(version));
+    }
+
+    private Map<String, Row> rows(String table) {
+        return tables.computeIfAbsent(table, name -> new LinkedHashMap<>());
+    }
+
+    private static <T> Either<TableFailure, T> unavailable() {
+        return Either.left(new TableFailure(TableFailure.Kind.UNAVAILABLE, "down"));
+    }
+
+    private static <T> Either<TableFailure, T> lost() {
+        return Either.left(new TableFailure(TableFailure.Kind.HISTORY_LOST, "history lost"));
+    }
+
+    private record Watch(String table, Consumer<Either<TableFailure, TableRows>> onResult) {}
+}
