Estimate waits by each route's own service time, and order a rank by what is due first

Ruled out: late news of health (entries knew). Failing homes now get work only where all homes of a service fail.

--- a/coordination/src/main/java/org/sardineshunt/coordination/health/UpstreamHealth.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/health/UpstreamHealth.java
@@ -96,6 +96,11 @@
         return (int) Math.ceil(SEVERITY_STEPS * Math.max(failureScore, slowScore) / policy.ejectionScore);
     }
 
+    /** Returns whether the last ejection was for failures, not for slowness alone. */
+    public boolean isFailing() {
+        return condition != Condition.HEALTHY && failureScore >= policy.ejectionScore;
+    }
+
     /** Returns the recent work for the group's baseline and lets older work fade. */
     public Baseline.Sample sample() {
         Baseline.Sample sample =
--- a/coordination/src/main/java/org/sardineshunt/coordination/limit/HomeGate.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/limit/HomeGate.java
@@ -23,7 +23,8 @@
  * List<Work<Call>> next = gate.finish(nowMillis, serviceMillis);
  * }</pre>
  *
- * <p>Waiting work is started by rank order. A rank with a guaranteed share earns that part of a start whenever another
+ * <p>Waiting work is started by rank order, within a rank by the time at which it is due; work that can't be in time any
+ * more comes after work that can. A rank with a guaranteed share earns that part of a start whenever another
  * rank is preferred to it, so that no flood starves it. Work whose expected wait plus expected service time passes its
  * deadline is refused at once instead of after the wait. Not thread-safe.
  *
@@ -148,24 +149,33 @@
         if (inFlight < limit && queued() == 0) {
             return 0;
         }
-        double perStart = meanServiceMillis / Math.max(1, limit);
-        long ahead = inOrder()
+        double perSlot = 1.0 / Math.max(1, limit);
+        double ahead = inOrder()
                 .takeWhile(rank -> !rank.name().equals(rankName))
-                .mapToLong(rank -> queues.get(rank.name()).size())
+                .mapToDouble(rank -> waitingMillis(rank.name()))
                 .sum();
-        int own = queues.get(rankName).size();
-        double byOrder = (ahead + own + 1) * perStart;
+        double own = waitingMillis(rankName);
+        double byOrder = (ahead + own + meanServiceMillis) * perSlot;
         double share = ranks.get(rankName).guaranteedShare();
-        return share <= 0 ? byOrder : Math.min(byOrder, (own + 1) * perStart / share);
+        return share <= 0 ? byOrder : Math.min(byOrder, (own + meanServiceMillis) * perSlot / share);
+    }
+
+    /** Returns the service time of all waiting work of a rank in milliseconds. */
+    public double waitingMillis(String rankName) {
+        return queues.get(rankName).stream().mapToDouble(this::serviceMillis).sum();
+    }
+
+    private double serviceMillis(Work<T> work) {
+        return work.serviceMillis() > 0 ? work.serviceMillis() : meanServiceMillis;
     }
 
     private boolean lacksSlack(long nowMillis, Work<T> work) {
         double slack = work.deadlineMillis() - nowMillis;
-        return expectedWaitMillis(work.rank()) + SERVICE_ALLOWANCE * meanServiceMillis > slack;
+        return expectedWaitMillis(work.rank()) + SERVICE_ALLOWANCE * serviceMillis(work) > slack;
     }
 
     private boolean canEndInTime(long nowMillis, Work<T> work) {
-        double needed = refuseWithoutSlack ? SERVICE_ALLOWANCE * meanServiceMillis : 0;
+        double needed = refuseWithoutSlack ? SERVICE_ALLOWANCE * serviceMillis(work) : 0;
         return work.deadlineMillis() - nowMillis > needed;
     }
 
@@ -194,14 +204,12 @@
                 .findFirst()
                 .orElse(backlogged.get(0));
         credits.computeIfPresent(chosen.name(), (name, credit) -> Math.max(0, credit - 1));
-        Iterable<Work<T>> queue = queues.get(chosen.name());
-        for (Work<T> work : queue) {
-            if (canEndInTime(nowMillis, work)) {
-                queues.get(chosen.name()).remove(work);
-                return Optional.of(work);
-            }
-        }
-        return Optional.empty();
+        Optional<Work<T>> next = queues.get(chosen.name()).stream()
+                .filter(work -> canEndInTime(nowMillis, work))
+                .min(Comparator.comparing((Work<T> work) -> nowMillis + serviceMillis(work) > work.dueMillis())
+                        .thenComparingLong(Work::dueMillis));
+        next.ifPresent(queues.get(chosen.name())::remove);
+        return next;
     }
 
     private boolean hasTimely(Rank rank, long nowMillis) {
--- a/coordination/src/main/java/org/sardineshunt/coordination/placement/HomeView.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/placement/HomeView.java
@@ -9,9 +9,19 @@
  * @param near whether it is in the entry's data centre
  * @param slots requests that its upstream runs at once
  * @param busy requests that run or wait there, with those that the entry sent since the last report
+ * @param waitMillis expected wait for a slot
  * @param serviceMillis mean time that a request takes there; 0 when unknown
  * @param condition health of its upstream
+ * @param failing whether an unhealthy upstream fails requests, rather than being slow
  * @param avoided whether it failed or refused work a moment ago
  */
 public record HomeView(
-        String nodeId, boolean near, int slots, int busy, double serviceMillis, Condition condition, boolean avoided) {}
+        String nodeId,
+        boolean near,
+        int slots,
+        int busy,
+        double waitMillis,
+        double serviceMillis,
+        Condition condition,
+        boolean failing,
+        boolean avoided) {}
--- a/coordination/src/main/java/org/sardineshunt/coordination/placement/PlacementPolicy.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/placement/PlacementPolicy.java
@@ -22,7 +22,8 @@
  * Optional<PlacementPolicy.Choice> choice = policy.choose(homes, tried, new Need(true, 500), random::nextDouble);
  * }</pre>
  *
- * <p>Unhealthy homes are left out down to the rotation's floor. A home on trial receives a trickle of idempotent work.
+ * <p>Unhealthy homes are left out down to the rotation's floor. Those that fail requests are used only where all homes of
+ * the service do: a refusal is better for the caller than a failure that may have run. A home on trial receives a trickle of idempotent work.
  * Immutable and thread-safe.
  */
 public final class PlacementPolicy {
@@ -67,16 +68,17 @@
         if (need.idempotent() && tried.isEmpty() && !onTrial.isEmpty() && random.getAsDouble() < trialShare) {
             return Optional.of(new Choice(onTrial.get(0), true));
         }
-        return best(left.stream().filter(home -> inUse.contains(home.nodeId())).toList(), need, random)
-                .map(home -> new Choice(home, home.condition() != Condition.HEALTHY));
+        boolean allFail = homes.stream().allMatch(HomeView::failing);
+        List<HomeView> usable = left.stream()
+                .filter(home -> inUse.contains(home.nodeId()))
+                .filter(home -> allFail || !home.failing())
+                .toList();
+        return best(usable, need, random).map(home -> new Choice(home, home.condition() != Condition.HEALTHY));
     }
 
     /** Returns the expected time until a new request at this home is answered, in milliseconds. */
     public static double expectedMillis(HomeView home) {
-        double service = home.serviceMillis() > 0 ? home.serviceMillis() : UNKNOWN_SERVICE_MILLIS;
-        int slots = Math.max(1, home.slots());
-        int ahead = Math.max(0, home.busy() + 1 - slots);
-        return service + ahead * service / slots;
+        return home.waitMillis() + (home.serviceMillis() > 0 ? home.serviceMillis() : UNKNOWN_SERVICE_MILLIS);
     }
 
     private Set<String> inUse(Collection<HomeView> homes) {
--- a/coordination/src/test/java/org/sardineshunt/coordination/limit/HomeGateTest.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/limit/HomeGateTest.java
@@ -69,6 +69,37 @@
         assertThat(gate.offer(0, work("browse", 25)), is(Either.left(Reason.DEADLINE_SLACK)));
     }
 
+    /** Short calls of running requests must not be refused for the length of the long requests that they wait behind. */
+    @Test
+    void shortWorkIsAcceptedBehindLongWork() {
+        HomeGate<String> mixed = HomeGate.<String>builder()
+                .ranks(RANKS)
+                .slots(4)
+                .expectedServiceMillis(1_600)
+                .build();
+        for (int running = 0; running < 4; running++) {
+            mixed.offer(0, new Work<>("long" + running, "browse", 20_000, 8_000, 1_600, "payload"));
+        }
+        Work<String> call = new Work<>("call", "booking", 1_200, 400, 93, "payload");
+        assertThat(mixed.offer(0, call), is(Either.right(false)));
+    }
+
+    @Test
+    void withinARankTheFirstThatIsDueStartsFirst() {
+        gate.offer(0, new Work<>("running", "booking", 9_000, 9_000, 10, "payload"));
+        gate.offer(0, new Work<>("later", "booking", 9_000, 1_500, 10, "payload"));
+        gate.offer(0, new Work<>("sooner", "booking", 9_000, 400, 10, "payload"));
+        assertThat(gate.finish(10, 10).get(0).id(), is("sooner"));
+    }
+
+    @Test
+    void workThatCanBeInTimeStartsBeforeWorkThatIsLateAnyway() {
+        gate.offer(0, new Work<>("running", "booking", 9_000, 9_000, 10, "payload"));
+        gate.offer(0, new Work<>("late", "booking", 9_000, 100, 10, "payload"));
+        gate.offer(0, new Work<>("timely", "booking", 9_000, 1_500, 10, "payload"));
+        assertThat(gate.finish(500, 10).get(0).id(), is("timely"));
+    }
+
     @Test
     void expiredWorkNeverStarts() {
         gate.offer(0, work("browse", 1_000));
--- a/coordination/src/test/java/org/sardineshunt/coordination/placement/PlacementPolicyTest.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/placement/PlacementPolicyTest.java
@@ -44,6 +44,16 @@
         assertThat(chosen(BOOKING, home("gray", true, 0, 5, Condition.UNHEALTHY), near("a", 9), near("b", 9)), is("a"));
     }
 
+    /** In a flood all healthy homes refuse; the work must not end at the gray one that accepts everything. */
+    @Test
+    void offersNothingToAFailingUpstreamAfterHealthyOnesRefused() {
+        HomeView gray = home("gray", true, 0, 5, Condition.UNHEALTHY);
+        assertThat(
+                policy.choose(List.of(gray, near("a", 9)), Set.of("a"), BOOKING, () -> 0)
+                        .isEmpty(),
+                is(true));
+    }
+
     @Test
     void usesTheUnhealthyOnesWhenNothingElseIsLeft() {
         assertThat(chosen(BOOKING, home("gray", true, 0, 5, Condition.UNHEALTHY)), is("gray"));
@@ -86,6 +96,7 @@
     }
 
     private static HomeView home(String nodeId, boolean near, int busy, double millis, Condition condition) {
-        return new HomeView(nodeId, near, 4, busy, millis, condition, false);
+        double wait = Math.max(0, busy - 3) * millis / 4;
+        return new HomeView(nodeId, near, 4, busy, wait, millis, condition, condition == Condition.UNHEALTHY, false);
     }
 }
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
@@ -126,8 +126,8 @@
             return () -> {};
         }
         startWaiting(now);
-        Either<Reason, Boolean> offered = gate.offer(
-                now, new Work<>(id, UpstreamGate.name(attempt.getRank()), now + attempt.getLeftMillis(), work));
+        double serviceMillis = judge.serviceMillis(attempt.getRoute());
+        Either<Reason, Boolean> offered = gate.offer(now, waiting(work, serviceMillis));
         if (offered.isLeft()) {
             refuse(work, offered.getLeft());
             return () -> {};
@@ -135,7 +135,7 @@
         if (offered.get()) {
             start(work);
         } else {
-            double needed = Math.max(SHORTEST_SERVICE_MILLIS, SERVICE_ALLOWANCE * judge.serviceMillis());
+            double needed = Math.max(SHORTEST_SERVICE_MILLIS, SERVICE_ALLOWANCE * serviceMillis);
             control.after((long) Math.max(1, attempt.getLeftMillis() - needed), () -> giveUpWaiting(work));
         }
         listener.loadChanged();
@@ -177,12 +177,27 @@
                 .setServiceMillis((int) judge.serviceMillis())
                 .setCondition(judge.condition().ordinal())
                 .setAccepting(isAccepting(now))
+                .setFailing(judge.failing())
+                .addAllWaitMillis(UpstreamGate.waitMillis(gate))
                 .setFailurePermille(judge.failurePermille())
                 .setSequence(++loadSequence)
                 .setIncarnation(incarnation)
                 .build();
     }
 
+    private static Work<PendingAttempt> waiting(PendingAttempt work, double serviceMillis) {
+        Attempt attempt = work.attempt();
+        long deadline = work.arrivedMillis() + attempt.getLeftMillis();
+        long due = attempt.getTargetMillis() == 0 ? deadline : work.arrivedMillis() + attempt.getTargetMillis();
+        return new Work<>(
+                attempt.getAttemptId(),
+                UpstreamGate.name(attempt.getRank()),
+                deadline,
+                Math.min(due, deadline),
+                serviceMillis,
+                work);
+    }
+
     private boolean adopt(Optional<Announcement> before) {
         Announcement now = announcements.current().orElseThrow();
         boolean otherStart = before.map(old -> !old.id().equals(now.id()) || old.born() != now.born())
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamJudge.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamJudge.java
@@ -34,6 +34,7 @@
     private final GroupBaseline baseline;
     private final HomeService.Listener listener;
     private final Map<Long, Long> brokenAtMillis = new HashMap<>();
+    private final Map<String, Double> millisByRoute = new HashMap<>();
     private String upstreamId = "";
     private UpstreamHealth health = newHealth();
     private double meanMillis;
@@ -69,6 +70,15 @@
         return meanMillis > 0 ? meanSquare / meanMillis : 0;
     }
 
+    /** Returns how long a request of a route usually takes, 0 while unknown. */
+    double serviceMillis(String route) {
+        return millisByRoute.getOrDefault(route, 0.0);
+    }
+
+    boolean failing() {
+        return health.isFailing();
+    }
+
     int failurePermille() {
         return (int) (failureShare * 1_000);
     }
@@ -104,6 +114,10 @@
         failureShare += ((success ? 0 : 1) - failureShare) * FAILURE_WEIGHT;
         if (success) {
             crashes.recordAnswer(String.valueOf(attempt.getFingerprint()));
+            millisByRoute.merge(
+                    attempt.getRoute(),
+                    (double) millis,
+                    (known, latest) -> known + (latest - known) * SERVICE_MILLIS_WEIGHT);
             double weight = meanMillis == 0 ? 1 : SERVICE_MILLIS_WEIGHT;
             meanMillis += (millis - meanMillis) * weight;
             meanSquare += ((double) millis * millis - meanSquare) * weight;
@@ -155,7 +169,7 @@
 
     // A request that was given less time than a usual one takes says nothing of the upstream.
     private boolean hadAmpleTime(Attempt attempt) {
-        return attempt.getLeftMillis() >= AMPLE_SERVICE_TIMES * serviceMillis();
+        return attempt.getLeftMillis() >= AMPLE_SERVICE_TIMES * serviceMillis(attempt.getRoute());
     }
 
     private void note(Runnable evidence) {
--- a/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
@@ -141,8 +141,8 @@
             giveUp(flow);
             return;
         }
-        Optional<PlacementPolicy.Choice> choice =
-                placement.choose(homeTable.homes(flow.service), flow.tried, need(flow), random::nextDouble);
+        Optional<PlacementPolicy.Choice> choice = placement.choose(
+                homeTable.homes(flow.service, flow.route.rank()), flow.tried, need(flow), random::nextDouble);
         if (choice.isEmpty() || flow.redirects > MOST_REDIRECTS) {
             giveUp(flow);
             return;
@@ -169,6 +169,7 @@
                 .with("home", home)
                 .with("condition", view.condition().name())
                 .with("busy", view.busy())
+                .with("waitMillis", (long) view.waitMillis())
                 .with("serviceMillis", (long) view.serviceMillis())
                 .with("near", view.near())
                 .with("avoided", view.avoided())
@@ -205,6 +206,7 @@
                 .setCallerService(settings.callerService())
                 .setLastResort(lastResort)
                 .setFingerprint(flow.fingerprint)
+                .setRoute(flow.route.name())
                 .setTargetMillis((int) flow.route.targetLatencyMillis())
                 .build();
     }
@@ -307,8 +309,8 @@
         if (flow.lastReason == Reason.NO_UPSTREAM) {
             return NO_UPSTREAM_RETRY_MILLIS;
         }
-        double expected = homeTable.homes(flow.service).stream()
-                .mapToDouble(home -> PlacementPolicy.expectedMillis(home) - home.serviceMillis())
+        double expected = homeTable.homes(flow.service, flow.route.rank()).stream()
+                .mapToDouble(HomeView::waitMillis)
                 .min()
                 .orElse(NO_UPSTREAM_RETRY_MILLIS);
         double spread = 0.75 + random.nextDouble() / 2;
--- a/engine/src/main/java/org/sardineshunt/engine/caller/HomeTable.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/HomeTable.java
@@ -6,7 +6,6 @@
 import java.util.stream.Stream;
 
 import org.sardineshunt.coordination.TimerService;
-import org.sardineshunt.coordination.announcement.Announcement;
 import org.sardineshunt.coordination.announcement.Announcement.Phase;
 import org.sardineshunt.coordination.health.Baseline;
 import org.sardineshunt.coordination.placement.HomeView;
@@ -34,15 +33,15 @@
         this.dataCentre = dataCentre;
     }
 
-    /** Returns the homes of a service that take work as far as is known. */
-    public List<HomeView> homes(String service) {
+    /** Returns the homes of a service that take work as far as is known, as work of a rank sees them. */
+    public List<HomeView> homes(String service, int rank) {
         long now = timers.nowMillis();
         double usualMillis = baseline(service).medianLatencyMillis();
         return directory
                 .nodes()
                 .filter(node -> !node.stopping() && serves(node, service))
                 .sorted(java.util.Comparator.comparing(node -> node.address().nodeId()))
-                .map(node -> view(now, node, usualMillis))
+                .map(node -> view(now, node, rank, usualMillis))
                 .toList();
     }
 
@@ -113,21 +112,34 @@
         return directory.nodes().filter(node -> node.dataCentre().equals(dataCentre));
     }
 
-    private HomeView view(long now, KnownNode node, double usualMillis) {
+    private HomeView view(long now, KnownNode node, int rank, double usualMillis) {
         String nodeId = node.address().nodeId();
         Known home = home(nodeId);
-        Announcement upstream = node.upstream().orElseThrow();
+        int slots = Math.max(1, node.upstream().orElseThrow().slots());
         boolean fresh = home.load != null && now - home.reportedMillis < LOAD_LIFE_MILLIS;
         int reported = fresh ? home.load.getInFlight() + home.load.getWaiting() + home.sentSince : 0;
-        boolean refusing = fresh && !home.load.getAccepting();
+        int busy = Math.max(reported, home.outstanding);
+        double serviceMillis =
+                home.load == null || home.load.getServiceMillis() == 0 ? usualMillis : home.load.getServiceMillis();
+        double reportedWait = fresh ? waitMillis(home.load, rank) : 0;
+        int unseen = fresh ? home.sentSince : home.outstanding;
+        int free = fresh ? Math.max(0, slots - home.load.getInFlight()) : slots;
+        double wait = reportedWait + Math.max(0, unseen + 1 - free) * serviceMillis / slots;
         return new HomeView(
                 nodeId,
                 node.dataCentre().equals(dataCentre),
-                upstream.slots(),
-                Math.max(reported, home.outstanding),
-                home.load == null || home.load.getServiceMillis() == 0 ? usualMillis : home.load.getServiceMillis(),
+                slots,
+                busy,
+                reportedWait > 0 || busy >= slots ? wait : 0,
+                serviceMillis,
                 home.load == null ? Condition.HEALTHY : Condition.ofOrdinal(home.load.getCondition()),
-                refusing || now < home.avoidedUntilMillis);
+                home.load != null && home.load.getFailing(),
+                fresh && !home.load.getAccepting() || now < home.avoidedUntilMillis);
+    }
+
+    private static double waitMillis(HomeLoad load, int rank) {
+        int known = load.getWaitMillisCount();
+        return known == 0 ? 0 : load.getWaitMillis(Math.min(rank, known - 1));
     }
 
     private static boolean serves(KnownNode node, String service) {
