--- a/coordination/src/main/java/org/sardineshunt/coordination/health/UpstreamHealth.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/health/UpstreamHealth.java
@@ -96,6 +96,11 @@
         return (int) Math.ceil(SEVERITY_STEPS * Math.max(failureScore, slowScore) / policy.ejectionScore);
     }
 
+    /** Returns the time at which an ejection ends and the trial begins; in the past for one that isn't out. */
+    public long ejectedUntilMillis() {
+        return outUntilMillis;
+    }
+
     /** Returns whether the last ejection was for failures, not for slowness alone. */
     public boolean isFailing() {
         return condition != Condition.HEALTHY && failureScore >= policy.ejectionScore;
--- a/coordination/src/main/java/org/sardineshunt/coordination/limit/HomeGate.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/limit/HomeGate.java
@@ -149,15 +149,18 @@
         if (inFlight < limit && queued() == 0) {
             return 0;
         }
+        return expectedWaitMillis(rankName, waitingMillis(rankName));
+    }
+
+    private double expectedWaitMillis(String rankName, double ownRankMillis) {
         double perSlot = 1.0 / Math.max(1, limit);
         double ahead = inOrder()
                 .takeWhile(rank -> !rank.name().equals(rankName))
                 .mapToDouble(rank -> waitingMillis(rank.name()))
                 .sum();
-        double own = waitingMillis(rankName);
-        double byOrder = (ahead + own + meanServiceMillis) * perSlot;
+        double byOrder = (ahead + ownRankMillis + meanServiceMillis) * perSlot;
         double share = ranks.get(rankName).guaranteedShare();
-        return share <= 0 ? byOrder : Math.min(byOrder, (own + meanServiceMillis) * perSlot / share);
+        return share <= 0 ? byOrder : Math.min(byOrder, (ownRankMillis + meanServiceMillis) * perSlot / share);
     }
 
     /** Returns the service time of all waiting work of a rank in milliseconds. */
@@ -171,7 +174,11 @@
 
     private boolean lacksSlack(long nowMillis, Work<T> work) {
         double slack = work.deadlineMillis() - nowMillis;
-        return expectedWaitMillis(work.rank()) + SERVICE_ALLOWANCE * serviceMillis(work) > slack;
+        double before = queues.get(work.rank()).stream()
+                .filter(waiting -> inOrderOfStart(nowMillis).compare(waiting, work) <= 0)
+                .mapToDouble(this::serviceMillis)
+                .sum();
+        return expectedWaitMillis(work.rank(), before) + SERVICE_ALLOWANCE * serviceMillis(work) > slack;
     }
 
     private boolean canEndInTime(long nowMillis, Work<T> work) {
@@ -206,12 +213,16 @@
         credits.computeIfPresent(chosen.name(), (name, credit) -> Math.max(0, credit - 1));
         Optional<Work<T>> next = queues.get(chosen.name()).stream()
                 .filter(work -> canEndInTime(nowMillis, work))
-                .min(Comparator.comparing((Work<T> work) -> nowMillis + serviceMillis(work) > work.dueMillis())
-                        .thenComparingLong(Work::dueMillis));
+                .min(inOrderOfStart(nowMillis));
         next.ifPresent(queues.get(chosen.name())::remove);
         return next;
     }
 
+    private Comparator<Work<T>> inOrderOfStart(long nowMillis) {
+        return Comparator.comparing((Work<T> work) -> nowMillis + serviceMillis(work) > work.dueMillis())
+                .thenComparingLong(Work::dueMillis);
+    }
+
     private boolean hasTimely(Rank rank, long nowMillis) {
         return queues.get(rank.name()).stream().anyMatch(work -> canEndInTime(nowMillis, work));
     }
--- a/coordination/src/main/java/org/sardineshunt/coordination/placement/PlacementPolicy.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/placement/PlacementPolicy.java
@@ -70,8 +70,8 @@
         }
         boolean allFail = homes.stream().allMatch(HomeView::failing);
         List<HomeView> usable = left.stream()
-                .filter(home -> inUse.contains(home.nodeId()))
-                .filter(home -> allFail || !home.failing())
+                .filter(home -> inUse.contains(home.nodeId()) || home.condition() == Condition.TRIAL)
+                .filter(home -> allFail || home.condition() == Condition.TRIAL || !home.failing())
                 .toList();
         return best(usable, need, random).map(home -> new Choice(home, home.condition() != Condition.HEALTHY));
     }
--- a/coordination/src/test/java/org/sardineshunt/coordination/limit/HomeGateTest.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/limit/HomeGateTest.java
@@ -84,6 +84,17 @@
         assertThat(mixed.offer(0, call), is(Either.right(false)));
     }
 
+    /** A call that is due soon overtakes its rank's queue, so the length of that queue is no reason to refuse it. */
+    @Test
+    void workThatOvertakesTheQueueIsNotRefusedForItsLength() {
+        gate.offer(0, new Work<>("running", "booking", 60_000, 60_000, 500, "payload"));
+        for (int waiting = 0; waiting < 20; waiting++) {
+            gate.offer(0, new Work<>("waiting" + waiting, "booking", 60_000, 1_500, 500, "payload"));
+        }
+        Work<String> call = new Work<>("call", "booking", 1_200, 400, 93, "payload");
+        assertThat(gate.offer(0, call), is(Either.right(false)));
+    }
+
     @Test
     void withinARankTheFirstThatIsDueStartsFirst() {
         gate.offer(0, new Work<>("running", "booking", 9_000, 9_000, 10, "payload"));
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamJudge.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamJudge.java
@@ -186,6 +186,14 @@
                     .write();
             counters.count("health_changes", after.name());
             listener.healthChanged();
+            tellTrial(after);
+        }
+    }
+
+    // Nobody sends work to an ejected upstream, so nobody would learn from answers that its trial has begun.
+    private void tellTrial(Condition condition) {
+        if (condition == Condition.UNHEALTHY) {
+            control.after(health.ejectedUntilMillis() - control.nowMillis() + 1, listener::healthChanged);
         }
     }
 
