Don't prolong ejections for errors of called services, and pause for dead upstreams

A dead upstream was tried again each 0.4 s. Entries with like knowledge chose the same home; a home could stay unseen for good (EngineTest, which awaited the discovery of a lost home, failed so). Also: HomeGateTest's refusal before the wait now has work that is due before it; the order by due time lets the old one in rightly.

--- a/coordination/src/main/java/org/sardineshunt/coordination/health/UpstreamHealth.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/health/UpstreamHealth.java
@@ -26,6 +26,7 @@
     private static final double UNHEALTHY_SLOW_SHARE = 0.5;
     private static final double HIGHEST_ASSUMED_SHARE = 0.95;
     private static final double GROUP_FAILURE_FACTOR = 3;
+    private static final double LATE_ERROR_SHARE = 0.15;
     private static final double SAMPLE_DECAY = 0.5;
     private static final int SEVERITY_STEPS = 4;
 
@@ -70,6 +71,21 @@
         judge(nowMillis, good);
     }
 
+    /**
+     * Records a server error that came after the usual work. Requests that depend on other services fail so when those do,
+     * so it counts for little, and a trial goes on.
+     */
+    public void recordLateError(long nowMillis) {
+        recentRequests++;
+        recentFailures++;
+        if (condition(nowMillis) == Condition.TRIAL) {
+            return;
+        }
+        double usual = Math.max(LATE_ERROR_SHARE, baseline.failureShare());
+        failureScore = step(failureScore, true, usual, Math.min(HIGHEST_ASSUMED_SHARE, usual * GROUP_FAILURE_FACTOR));
+        judge(nowMillis, false);
+    }
+
     /** Records that a request has been in flight for longer than {@link #slowLimitMillis()} without an answer. */
     public void recordOverdue(long nowMillis) {
         addSlowEvidence(true);
@@ -115,8 +131,11 @@
         return sample;
     }
 
-    // Ordinary errors come after some work; a failure in no time at all is that of an upstream that doesn't work.
-    private boolean isFast(double latencyMillis) {
+    /**
+     * Returns whether a failure came too fast for an ordinary error, which comes after some work: so fails an upstream that
+     * doesn't work at all. Never true if the policy doesn't say what is fast.
+     */
+    public boolean isFast(double latencyMillis) {
         double usual = baseline.medianLatencyMillis() > 0 ? baseline.medianLatencyMillis() : median();
         return policy.fastFailureShare > 0 && usual > 0 && latencyMillis < usual * policy.fastFailureShare;
     }
--- a/coordination/src/main/java/org/sardineshunt/coordination/placement/PlacementPolicy.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/placement/PlacementPolicy.java
@@ -29,9 +29,12 @@
 public final class PlacementPolicy {
     private static final double UNKNOWN_SERVICE_MILLIS = 200;
 
+    private static final double SPREAD_MILLIS = 20;
+    private static final double SPREAD_SHARE = 0.2;
+
     // Waits for which work is rather kept away from an upstream that failed a moment ago, or still fails but is held in
     // rotation by the floor.
-    private static final double TRIAL_COST_MILLIS = 1_000;
+    private static final double TRIAL_COST_MILLIS = 1_500;
     private static final double UNHEALTHY_COST_MILLIS = 4_000;
 
     // Among homes with a free slot the emptier one is preferred: a report of its load may be out of date.
@@ -105,7 +108,9 @@
         int offset = (int) (rotationStart * Math.max(1, candidates.size()));
         return java.util.stream.IntStream.range(0, candidates.size())
                 .mapToObj(index -> candidates.get((index + offset) % candidates.size()))
-                .min(Comparator.comparingDouble(home -> cost(home, need)));
+                .map(home -> new Priced(home, cost(home, need) + random.getAsDouble() * spread(home)))
+                .min(Comparator.comparingDouble(Priced::cost))
+                .map(Priced::home);
     }
 
     private static double cost(HomeView home, Need need) {
@@ -115,6 +120,12 @@
                 + doubt(home);
     }
 
+    // Entries that know the same must not all choose the same home, and each upstream must be seen at work now and
+    // then.
+    private static double spread(HomeView home) {
+        return SPREAD_MILLIS + SPREAD_SHARE * expectedMillis(home);
+    }
+
     private static double doubt(HomeView home) {
         return switch (home.condition()) {
             case HEALTHY -> 0;
@@ -138,4 +149,6 @@
      * @param lastResort whether its upstream isn't healthy and the home should run the work all the same
      */
     public record Choice(HomeView home, boolean lastResort) {}
+
+    private record Priced(HomeView home, double cost) {}
 }
--- a/coordination/src/test/java/org/sardineshunt/coordination/health/UpstreamHealthTest.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/health/UpstreamHealthTest.java
@@ -127,4 +127,30 @@
     private double noise() {
         return Math.exp(random.nextGaussian() * 0.35);
     }
+
+    /** Requests fail after their work when a service that they call is in trouble; the trial must not fail for that. */
+    @Test
+    void lateErrorsDoNotProlongATrial() {
+        UpstreamHealth health = new UpstreamHealth(HealthPolicy.builder()
+                .ejectionScore(6)
+                .ejectionMillis(1_000, 1_000, 1_000)
+                .trialSuccesses(2)
+                .build());
+        health.record(0, UpstreamHealth.Outcome.FAILURE, 1);
+        health.record(0, UpstreamHealth.Outcome.FAILURE, 1);
+        assertThat(health.condition(500), is(Condition.UNHEALTHY));
+        health.record(1_001, UpstreamHealth.Outcome.SUCCESS, 100);
+        health.recordLateError(1_002);
+        health.record(1_003, UpstreamHealth.Outcome.SUCCESS, 100);
+        assertThat(health.condition(1_004), is(Condition.HEALTHY));
+    }
+
+    @Test
+    void oneFailureInNoTimeEjectsWhereThePolicySaysSo() {
+        UpstreamHealth health = new UpstreamHealth(
+                HealthPolicy.builder().ejectionScore(6).fastFailureShare(0.1).build());
+        health.baseline(new Baseline(0, 400, 4));
+        health.record(0, UpstreamHealth.Outcome.FAILURE, 3);
+        assertThat(health.condition(1), is(Condition.UNHEALTHY));
+    }
 }
--- a/coordination/src/test/java/org/sardineshunt/coordination/limit/HomeGateTest.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/limit/HomeGateTest.java
@@ -64,7 +64,7 @@
     @Test
     void workThatWouldMissItsDeadlineIsRefusedBeforeTheWait() {
         gate.offer(0, work("browse", 1_000));
-        gate.offer(0, work("browse", 1_000));
+        gate.offer(0, new Work<>("due first", "browse", 1_000, 20, SERVICE_MILLIS, "payload"));
 
         assertThat(gate.offer(0, work("browse", 25)), is(Either.left(Reason.DEADLINE_SLACK)));
     }
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
@@ -36,7 +36,8 @@
 public final class HomeService {
     private static final long ANSWER_RETENTION_MILLIS = 5_000;
     private static final long LONGEST_IDLE_MILLIS = 4_000;
-    private static final long REFUSED_PAUSE_MILLIS = 400;
+    private static final long FIRST_PAUSE_MILLIS = 400;
+    private static final long LONGEST_PAUSE_MILLIS = 6_400;
     private static final long EXPIRY_PERIOD_MILLIS = 1_000;
     private static final double SERVICE_ALLOWANCE = 1.2;
     private static final double SHORTEST_SERVICE_MILLIS = 50;
@@ -59,6 +60,7 @@
     private String upstreamId = "";
     private String misdirectedId = "";
     private long pausedUntilMillis = Long.MIN_VALUE;
+    private long pauseMillis = FIRST_PAUSE_MILLIS;
     private long loadSequence;
     private boolean stopping;
     private boolean expiryScheduled;
@@ -204,6 +206,7 @@
                 .orElse(true);
         boolean otherPhase = before.map(old -> old.phase() != now.phase()).orElse(true);
         pausedUntilMillis = Long.MIN_VALUE;
+        pauseMillis = FIRST_PAUSE_MILLIS;
         if (otherStart) {
             startedAgain(now);
         }
@@ -326,10 +329,26 @@
         if (UpstreamCall.isMisdirected(outcome)) {
             misdirectedId = upstreamId;
         } else if (outcome instanceof HttpOutcome.Failed failed && failed.kind() == HttpOutcome.Kind.CONNECT) {
-            pausedUntilMillis = control.nowMillis() + REFUSED_PAUSE_MILLIS;
-            refuseWaiting(Reason.BACKEND_SERVER_REFUSED);
-            control.after(REFUSED_PAUSE_MILLIS + 1, listener::loadChanged);
+            pause();
+        } else {
+            pauseMillis = FIRST_PAUSE_MILLIS;
+        }
+    }
+
+    private void pause() {
+        long now = control.nowMillis();
+        if (now < pausedUntilMillis) {
+            return;
         }
+        pausedUntilMillis = now + pauseMillis;
+        control.after(pauseMillis + 1, listener::healthChanged);
+        log.event("upstream-refuses-connections")
+                .with("upstream", upstreamId)
+                .with("pauseMillis", pauseMillis)
+                .write();
+        pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, pauseMillis * 2);
+        refuseWaiting(Reason.BACKEND_SERVER_REFUSED);
+        listener.healthChanged();
     }
 
     private void cancel(String id) {
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamJudge.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamJudge.java
@@ -125,7 +125,11 @@
         setBaseline(attempt);
         double permille =
                 attempt.getTargetMillis() == 0 ? USUAL_PERMILLE : 1_000.0 * millis / attempt.getTargetMillis();
-        note(() -> health.record(now, success ? Outcome.SUCCESS : Outcome.FAILURE, permille));
+        if (outcome instanceof HttpOutcome.Answered && !success && !health.isFast(permille)) {
+            note(() -> health.recordLateError(now));
+        } else {
+            note(() -> health.record(now, success ? Outcome.SUCCESS : Outcome.FAILURE, permille));
+        }
     }
 
     // Routes of one service take different times, so latencies are compared as parts of the route's target.
@@ -203,7 +207,7 @@
                 .unhealthyFailureShare(0.4)
                 .ejectionScore(6)
                 .slowFactor(SLOW_FACTOR)
-                .ejectionMillis(1_500, 2_000, 4_000)
+                .ejectionMillis(1_000, 1_300, 2_600)
                 .trialSuccesses(2)
                 .fastFailureShare(0.1)
                 .build());
