--- a/coordination/src/main/java/org/sardineshunt/coordination/limit/HomeGate.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/limit/HomeGate.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 
 import io.vavr.control.Either;
@@ -119,6 +120,32 @@
         return removeWaiting(work -> !canEndInTime(nowMillis, work));
     }
 
+    /**
+     * Removes work that is late and is not expected to start in time for its deadline, so that its caller can turn
+     * elsewhere while there is time; empty if it goes on waiting or isn't waiting.
+     *
+     * @param waitFactor by how much the expected wait is taken to grow by timely work that still comes
+     */
+    public Optional<Work<T>> removeIfHopeless(long nowMillis, String id, double waitFactor) {
+        return queues.values().stream()
+                .flatMap(Deque::stream)
+                .filter(work -> work.id().equals(id))
+                .filter(work -> waitMillis(nowMillis, work) * waitFactor + SERVICE_ALLOWANCE * serviceMillis(work)
+                        > work.deadlineMillis() - nowMillis)
+                .findFirst()
+                .flatMap(work -> remove(id));
+    }
+
+    /** Removes and returns waiting work that fulfils a condition. */
+    public List<Work<T>> removeWaiting(Predicate<Work<T>> condition) {
+        List<Work<T>> removed = queues.values().stream()
+                .flatMap(Deque::stream)
+                .filter(condition)
+                .toList();
+        queues.values().forEach(queue -> queue.removeIf(condition));
+        return removed;
+    }
+
     /** Removes and returns all waiting work. */
     public List<Work<T>> removeAll() {
         return removeWaiting(work -> true);
@@ -174,11 +201,15 @@
 
     private boolean lacksSlack(long nowMillis, Work<T> work) {
         double slack = work.deadlineMillis() - nowMillis;
+        return waitMillis(nowMillis, work) + SERVICE_ALLOWANCE * serviceMillis(work) > slack;
+    }
+
+    private double waitMillis(long nowMillis, Work<T> work) {
         double before = queues.get(work.rank()).stream()
-                .filter(waiting -> inOrderOfStart(nowMillis).compare(waiting, work) <= 0)
+                .filter(waiting -> waiting != work && inOrderOfStart(nowMillis).compare(waiting, work) <= 0)
                 .mapToDouble(this::serviceMillis)
                 .sum();
-        return expectedWaitMillis(work.rank(), before) + SERVICE_ALLOWANCE * serviceMillis(work) > slack;
+        return expectedWaitMillis(work.rank(), before);
     }
 
     private boolean canEndInTime(long nowMillis, Work<T> work) {
@@ -237,15 +268,6 @@
                         .thenComparingInt(Rank::order));
     }
 
-    private List<Work<T>> removeWaiting(java.util.function.Predicate<Work<T>> condition) {
-        List<Work<T>> removed = queues.values().stream()
-                .flatMap(Deque::stream)
-                .filter(condition)
-                .toList();
-        queues.values().forEach(queue -> queue.removeIf(condition));
-        return removed;
-    }
-
     /**
      * Builds a {@link HomeGate}. Not thread-safe.
      *
--- a/coordination/src/test/java/org/sardineshunt/coordination/limit/HomeGateTest.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/limit/HomeGateTest.java
@@ -95,6 +95,18 @@
         assertThat(gate.offer(0, call), is(Either.right(false)));
     }
 
+    /** In a flood a booking that can't be in time any more is told so at once, not when its deadline is near. */
+    @Test
+    void lateWorkWithoutHopeIsGivenBackEarly() {
+        gate.offer(0, new Work<>("running", "booking", 60_000, 60_000, 500, "payload"));
+        gate.offer(0, new Work<>("late", "booking", 5_000, 1_500, 500, "payload"));
+        assertThat(gate.removeIfHopeless(1_001, "late", 2).isEmpty(), is(true));
+        for (int timely = 0; timely < 5; timely++) {
+            gate.offer(1_001, new Work<>("timely" + timely, "booking", 60_000, 9_000, 500, "payload"));
+        }
+        assertThat(gate.removeIfHopeless(1_001, "late", 2).isPresent(), is(true));
+    }
+
     @Test
     void withinARankTheFirstThatIsDueStartsFirst() {
         gate.offer(0, new Work<>("running", "booking", 9_000, 9_000, 10, "payload"));
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
@@ -40,6 +40,7 @@
     private static final long LONGEST_PAUSE_MILLIS = 6_400;
     private static final long EXPIRY_PERIOD_MILLIS = 1_000;
     private static final double SERVICE_ALLOWANCE = 1.2;
+    private static final double GROWTH_OF_LATE_WAIT = 2;
     private static final double SHORTEST_SERVICE_MILLIS = 50;
     private static final long UPSTREAM_MARGIN_MILLIS = 15;
 
@@ -139,6 +140,10 @@
         } else {
             double needed = Math.max(SHORTEST_SERVICE_MILLIS, SERVICE_ALLOWANCE * serviceMillis);
             control.after((long) Math.max(1, attempt.getLeftMillis() - needed), () -> giveUpWaiting(work));
+            long lateAfter = (long) (attempt.getTargetMillis() - serviceMillis);
+            if (lateAfter > 0 && lateAfter < attempt.getLeftMillis()) {
+                control.after(lateAfter + 1, () -> reconsider(work));
+            }
         }
         listener.loadChanged();
         return () -> cancel(id);
@@ -299,6 +304,11 @@
         notePath(outcome);
         judge.ended(work, outcome, success, millis);
         pending.remove(id);
+        if (judge.failing()) {
+            // A failing upstream takes no time, so it would run through its whole queue before anyone knew.
+            gate.removeWaiting(waiting -> !waiting.payload().attempt().getLastResort())
+                    .forEach(waiting -> refuse(waiting.payload(), Reason.OUT_OF_ROTATION));
+        }
         List<Work<PendingAttempt>> next = gate.finish(now, success ? judge.serviceMillis() : -1);
         Answer answer = builder.setLoad(load()).build();
         if (answer.getVerdict() == Verdict.NOT_RUN.ordinal()) {
@@ -363,6 +373,11 @@
         }
     }
 
+    private void reconsider(PendingAttempt work) {
+        gate.removeIfHopeless(control.nowMillis(), work.attempt().getAttemptId(), GROWTH_OF_LATE_WAIT)
+                .ifPresent(hopeless -> refuse(work, Reason.DEADLINE_SLACK));
+    }
+
     private void giveUpWaiting(PendingAttempt work) {
         if (gate.remove(work.attempt().getAttemptId()).isPresent()) {
             refuse(work, Reason.DEADLINE_SLACK);
--- a/engine/src/test/java/org/sardineshunt/engine/EngineTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineTest.java
@@ -171,6 +171,28 @@
         assertThat(fleet.upstream(1).arrived().size(), is(0));
     }
 
+    /** A gray upstream fails in no time; the work that waits for it must go elsewhere, not through it. */
+    @Test
+    void takesTheQueueAwayFromAnUpstreamThatTurnsGray() {
+        everyUpstream(index -> exchange -> {});
+        List<EngineFleet.Sent> sent = IntStream.range(0, 36)
+                .mapToObj(request -> fleet.send(0, "POST", EngineFleet.BOOKING, 4_000))
+                .toList();
+        Await.until("all slots are taken", () -> fleet.arrivals() == 12);
+        FakeUpstream gray = fleet.upstream(0);
+        gray.behave(gray::fail);
+        List.copyOf(gray.arrived()).forEach(gray::fail);
+        IntStream.range(1, SIZE).forEach(index -> {
+            FakeUpstream healthy = fleet.upstream(index);
+            healthy.behave(healthy::succeed);
+            List.copyOf(healthy.arrived()).forEach(healthy::succeed);
+        });
+        long failed = sent.stream()
+                .filter(request -> status(request.outcome().join()) == 500)
+                .count();
+        assertThat(failed, lessThanOrEqualTo(8L));
+    }
+
     @Test
     void finishesWhatIsInFlightWhenItStops() {
         everyUpstream(index -> exchange -> {});
