Answer what still waits before a stopping process ends

All requests that wait 350 ms before the end are now answered. EngineTest.answersWhatStillWaitsBeforeItEnds plays it.

--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -59,6 +59,7 @@
     private static final long STORED_LIMIT_MILLIS = 600;
     private static final long STOP_POLL_MILLIS = 100;
     private static final long STOP_QUIET_MILLIS = 300;
+    private static final long STOP_LAST_ANSWERS_MILLIS = 350;
     private static final long SHUTDOWN_QUIET_MILLIS = 50;
     private static final long SHUTDOWN_LONGEST_MILLIS = 500;
     private static final long STOP_LONGEST_DETECTION_MILLIS = 2_300;
@@ -207,6 +208,9 @@
 
     private void awaitIdle(long begun, CompletableFuture<Void> stopped) {
         long elapsed = control.nowMillis() - begun;
+        if (elapsed >= settings.limits().stopMillis() - STOP_LAST_ANSWERS_MILLIS) {
+            entry.answerAll();
+        }
         boolean undetected = elapsed < STOP_LONGEST_DETECTION_MILLIS;
         boolean busy = entry.inFlight() > 0 || home.pending() > 0 || callerServer.busy() > 0;
         if (elapsed < settings.limits().stopMillis() && (undetected || busy || callerServer.open() > 0)) {
--- a/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
@@ -2,11 +2,13 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Supplier;
 
 import com.google.protobuf.ByteString;
@@ -64,7 +66,7 @@
     private final Map<String, RetryBudget> budgets = new HashMap<>();
     private final long incarnation;
     private long lastAttempt;
-    private int inFlight;
+    private final Set<Flow> flows = new LinkedHashSet<>();
 
     /** Creates an entry. */
     public EntryService(
@@ -93,7 +95,12 @@
 
     /** Returns how many requests wait for their answer. */
     public int inFlight() {
-        return inFlight;
+        return flows.size();
+    }
+
+    /** Answers all requests that still wait, because the process ends before their time is over. */
+    public void answerAll() {
+        List.copyOf(flows).forEach(this::timeOut);
     }
 
     private void begin(HttpExchange exchange) {
@@ -119,7 +126,7 @@
         Flow flow = new Flow(exchange, requestId, route.get(), known.get().version(), now, fingerprint);
         flow.service = route.get().service(random.nextDouble());
         flow.deadlineMillis = now + leftMillis(request, route.get());
-        inFlight++;
+        flows.add(flow);
         budget(flow).recordFirstAttempt();
         flow.timer = control.after(flow.deadlineMillis - now, () -> timeOut(flow));
         exchange.onGone(() -> control.execute(() -> callerLeft(flow)));
@@ -338,7 +345,7 @@
         flow.cancelAttempt.run();
         flow.ended = true;
         flow.timer.cancel();
-        inFlight--;
+        flows.remove(flow);
         counters.count("requests", "caller-left");
         log.event("caller-left")
                 .with("request", flow.requestId)
@@ -350,7 +357,7 @@
     private void end(Flow flow, Verdict verdict, Reason reason, HttpAnswer answer) {
         flow.ended = true;
         flow.timer.cancel();
-        inFlight--;
+        flows.remove(flow);
         flow.exchange.answer(answer);
         long millis = control.nowMillis() - flow.beganMillis;
         counters.count("requests", reason.label());
--- a/engine/src/test/java/org/sardineshunt/engine/EngineTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineTest.java
@@ -224,6 +224,20 @@
         stopped.join();
     }
 
+    /** Found by a hunt: a request that still waited when the process ended was cut off without an answer. */
+    @Test
+    void answersWhatStillWaitsBeforeItEnds() {
+        everyUpstream(index -> exchange -> {});
+        fleet.node(0).configure(EngineFleet.configuration(2, 9_000));
+        Await.until(
+                "the longer timeout is in force",
+                () -> fleet.node(0).configuration().orElseThrow().version() == 2);
+        EngineFleet.Sent sent = fleet.send(0, "POST", EngineFleet.BOOKING, 9_000);
+        Await.until("the request arrived", () -> fleet.arrivals() == 1);
+        fleet.node(0).stop();
+        assertThat(status(sent.outcome().join()), is(504));
+    }
+
     @Test
     void sendsAWholeBookingOnceWhenItsHomeIsGone() {
         fleet.node(1).kill();
