Prefer a free slot to a wait that seems short

Ruled out: lost answers (the control threads logged no error). The new test in PlacementPolicyTest failed before.

--- a/coordination/src/main/java/org/sardineshunt/coordination/placement/PlacementPolicy.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/placement/PlacementPolicy.java
@@ -29,6 +29,9 @@
 public final class PlacementPolicy {
     private static final double UNKNOWN_SERVICE_MILLIS = 200;
 
+    // A free slot goes before a short expected wait: service times that seem short may be out of date.
+    private static final double FULL_COST_MILLIS = 100;
+
     private static final double SPREAD_MILLIS = 20;
     private static final double SPREAD_SHARE = 0.2;
 
@@ -117,7 +120,8 @@
         double load = (double) home.busy() / Math.max(1, home.slots());
         return expectedMillis(home) * (1 + LOAD_WEIGHT * Math.min(1, load))
                 + (home.near() ? 0 : need.farCostMillis())
-                + doubt(home);
+                + doubt(home)
+                + (home.busy() < home.slots() ? 0 : FULL_COST_MILLIS);
     }
 
     // Entries that know the same must not all choose the same home, and each upstream must be seen at work now and
--- a/coordination/src/test/java/org/sardineshunt/coordination/placement/PlacementPolicyTest.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/placement/PlacementPolicyTest.java
@@ -28,6 +28,20 @@
         assertThat(chosen(BOOKING, near("a", 12), far("b", 0)), is("b"));
     }
 
+    /** Requests that took 1 ms so far hang now: they must not pile up where no slot is free while others are idle. */
+    @Test
+    void prefersAFreeSlotToAWaitThatSeemsShort() {
+        HomeView full = home("full", true, 4, 1, Condition.HEALTHY);
+        HomeView idle = home("idle", true, 0, 1, Condition.HEALTHY);
+        double[] draws = {0, 0, 1};
+        int[] next = {0};
+        String chosen = policy.choose(List.of(full, idle), Set.of(), BOOKING, () -> draws[next[0]++])
+                .orElseThrow()
+                .home()
+                .nodeId();
+        assertThat(chosen, is("idle"));
+    }
+
     @Test
     void prefersTheFasterUpstream() {
         assertThat(
