Keep bookings away from upstreams on trial, and cross data centres before answers are late

Ruled out: slow detection (ejected on the first fast failure), trials of upstreams that are well (they do fail). Change: only idempotent work tests an upstream on trial, one request at a time, any of them; a trial that nobody tests ends after 5 s. Placement minimises the part of a request's worth that is lost by lateness, time and distance.

--- a/coordination/src/main/java/org/sardineshunt/coordination/health/HealthPolicy.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/health/HealthPolicy.java
@@ -18,6 +18,7 @@
     final long longestEjectionMillis;
     final long relapseWindowMillis;
     final int trialSuccesses;
+    final long untestedTrialMillis;
     final double fastFailureShare;
 
     private HealthPolicy(Builder builder) {
@@ -31,6 +32,7 @@
         longestEjectionMillis = builder.longestEjectionMillis;
         relapseWindowMillis = builder.relapseWindowMillis;
         trialSuccesses = builder.trialSuccesses;
+        untestedTrialMillis = builder.untestedTrialMillis;
         fastFailureShare = builder.fastFailureShare;
     }
 
@@ -51,6 +53,7 @@
         private long longestEjectionMillis = 300_000;
         private long relapseWindowMillis = 120_000;
         private int trialSuccesses = 10;
+        private long untestedTrialMillis = Long.MAX_VALUE;
         private double fastFailureShare;
 
         private Builder() {}
@@ -100,6 +103,15 @@
             return this;
         }
 
+        /**
+         * Sets after how many milliseconds a trial that nobody put to the test ends well, so that a service without
+         * idempotent work gets its upstreams back; by default it never does.
+         */
+        public Builder untestedTrialMillis(long millis) {
+            untestedTrialMillis = millis;
+            return this;
+        }
+
         /**
          * Sets the share of the usual latency below which a failure counts twice; 0, the default, for never.
          */
--- a/coordination/src/main/java/org/sardineshunt/coordination/health/UpstreamHealth.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/health/UpstreamHealth.java
@@ -98,12 +98,16 @@
         return usual <= 0 ? Double.POSITIVE_INFINITY : Math.max(policy.minimumSlowMillis, usual * policy.slowFactor);
     }
 
-    /** Returns the condition; an ejection that is over turns into a trial. */
+    /** Returns the condition; an ejection that is over turns into a trial, and a trial that nobody tests ends. */
     public Condition condition(long nowMillis) {
         if (condition == Condition.UNHEALTHY && nowMillis >= outUntilMillis) {
             condition = Condition.TRIAL;
             successesOnTrial = 0;
         }
+        boolean untested = condition == Condition.TRIAL && successesOnTrial == 0;
+        if (untested && nowMillis - outUntilMillis >= policy.untestedTrialMillis) {
+            recover();
+        }
         return condition;
     }
 
@@ -173,12 +177,16 @@
         }
         successesOnTrial++;
         if (successesOnTrial >= policy.trialSuccesses) {
-            condition = Condition.HEALTHY;
-            failureScore = 0;
-            slowScore = 0;
+            recover();
         }
     }
 
+    private void recover() {
+        condition = Condition.HEALTHY;
+        failureScore = 0;
+        slowScore = 0;
+    }
+
     private void eject(long nowMillis) {
         boolean relapse = nowMillis - lastEjectionMillis < policy.relapseWindowMillis;
         relapses = relapse ? relapses + 1 : 0;
--- a/coordination/src/main/java/org/sardineshunt/coordination/placement/PlacementPolicy.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/placement/PlacementPolicy.java
@@ -14,12 +14,12 @@
 import org.sardineshunt.coordination.rotation.Rotation;
 
 /**
- * Chooses the home of the next attempt: the least expected time until the answer, in the own data centre while it has
- * room there.
+ * Chooses the home of the next attempt: where an answer is most likely in time, and in the own data centre while it is
+ * there too. It answers overload that is uneven: upstreams of one data centre that are full while others have room.
  *
  * <pre>{@code
  * PlacementPolicy policy = new PlacementPolicy(Rotation.builder().floorShare(0.7).build(), 0.05);
- * Optional<PlacementPolicy.Choice> choice = policy.choose(homes, tried, new Need(true, 500), random::nextDouble);
+ * Optional<PlacementPolicy.Choice> choice = policy.choose(homes, tried, new Need(true, 1_500), random::nextDouble);
  * }</pre>
  *
  * <p>Unhealthy homes are left out down to the rotation's floor. Those that fail requests are used only where all homes of
@@ -32,6 +32,17 @@
     // A free slot goes before a short expected wait: service times that seem short may be out of date.
     private static final double FULL_COST_MILLIS = 100;
 
+    // Parts of a request's worth: what an answer after the target loses, what waiting for a whole target costs an
+    // answer
+    // that is in time, and what the bytes between data centres cost for a request of some kilobytes.
+    private static final double LATE_LOSS = 0.7;
+    private static final double TIME_LOSS = 0.1;
+    private static final double FAR_LOSS = 0.05;
+
+    // Expected times err by about half, so lateness is feared from this part of the target on.
+    private static final double SAFE_PART_OF_TARGET = 0.6;
+    private static final double UNKNOWN_TARGET_MILLIS = 1_000;
+
     private static final double SPREAD_MILLIS = 20;
     private static final double SPREAD_SHARE = 0.2;
 
@@ -65,21 +76,38 @@
      * @param random source of numbers from 0 to below 1
      */
     public Optional<Choice> choose(Collection<HomeView> homes, Set<String> tried, Need need, DoubleSupplier random) {
-        Set<String> inUse = inUse(homes);
         List<HomeView> left =
                 homes.stream().filter(home -> !tried.contains(home.nodeId())).toList();
-        List<HomeView> onTrial = left.stream()
+        if (need.idempotent() && tried.isEmpty() && random.getAsDouble() < trialShare) {
+            Optional<HomeView> onTrial = anyIdleOnTrial(left, random);
+            if (onTrial.isPresent()) {
+                return Optional.of(new Choice(onTrial.get(), false));
+            }
+        }
+        return best(usable(homes, left, need), need, random)
+                .map(home -> new Choice(home, home.condition() != Condition.HEALTHY));
+    }
+
+    private static Optional<HomeView> anyIdleOnTrial(List<HomeView> homes, DoubleSupplier random) {
+        List<HomeView> onTrial = homes.stream()
                 .filter(home -> home.condition() == Condition.TRIAL && home.busy() == 0 && !home.avoided())
                 .toList();
-        if (need.idempotent() && tried.isEmpty() && !onTrial.isEmpty() && random.getAsDouble() < trialShare) {
-            return Optional.of(new Choice(onTrial.get(0), true));
-        }
+        return onTrial.isEmpty()
+                ? Optional.empty()
+                : Optional.of(onTrial.get((int) (random.getAsDouble() * onTrial.size())));
+    }
+
+    // Most upstreams that are put on trial still fail, and a booking that fails there is lost, so only work that may be
+    // repeated goes there while any upstream is healthy.
+    private List<HomeView> usable(Collection<HomeView> homes, List<HomeView> left, Need need) {
+        Set<String> inUse = inUse(homes);
         boolean allFail = homes.stream().allMatch(HomeView::failing);
-        List<HomeView> usable = left.stream()
-                .filter(home -> inUse.contains(home.nodeId()) || home.condition() == Condition.TRIAL)
-                .filter(home -> allFail || home.condition() == Condition.TRIAL || !home.failing())
+        boolean trials = need.idempotent() || homes.stream().noneMatch(home -> home.condition() == Condition.HEALTHY);
+        return left.stream()
+                .filter(home -> home.condition() == Condition.TRIAL
+                        ? trials
+                        : inUse.contains(home.nodeId()) && (allFail || !home.failing()))
                 .toList();
-        return best(usable, need, random).map(home -> new Choice(home, home.condition() != Condition.HEALTHY));
     }
 
     /** Returns the expected time until a new request at this home is answered, in milliseconds. */
@@ -111,15 +139,25 @@
         int offset = (int) (rotationStart * Math.max(1, candidates.size()));
         return java.util.stream.IntStream.range(0, candidates.size())
                 .mapToObj(index -> candidates.get((index + offset) % candidates.size()))
-                .map(home -> new Priced(home, cost(home, need) + random.getAsDouble() * spread(home)))
-                .min(Comparator.comparingDouble(Priced::cost))
+                .map(home -> new Priced(home, loss(home, need, random.getAsDouble())))
+                .min(Comparator.comparingDouble(Priced::loss))
                 .map(Priced::home);
     }
 
-    private static double cost(HomeView home, Need need) {
+    // The part of the answer's worth that is expected to be lost. An answer that comes in time is worth nearly all of
+    // it
+    // whenever it comes, so data centres are crossed for the sake of time only once a wait in the own one endangers
+    // that.
+    private static double loss(HomeView home, Need need, double draw) {
+        double target = need.targetMillis() > 0 ? need.targetMillis() : UNKNOWN_TARGET_MILLIS;
+        double partOfTarget = (millisWithDoubt(home) + draw * spread(home)) / target;
+        double late = Math.min(1, Math.max(0, (partOfTarget - SAFE_PART_OF_TARGET) / (1 - SAFE_PART_OF_TARGET)));
+        return LATE_LOSS * late + TIME_LOSS * partOfTarget + (home.near() ? 0 : FAR_LOSS);
+    }
+
+    private static double millisWithDoubt(HomeView home) {
         double load = (double) home.busy() / Math.max(1, home.slots());
         return expectedMillis(home) * (1 + LOAD_WEIGHT * Math.min(1, load))
-                + (home.near() ? 0 : need.farCostMillis())
                 + doubt(home)
                 + (home.busy() < home.slots() ? 0 : FULL_COST_MILLIS);
     }
@@ -142,9 +180,9 @@
      * What a request needs of its home.
      *
      * @param idempotent whether running it twice is harmless
-     * @param farCostMillis expected wait for which it is rather kept in the own data centre
+     * @param targetMillis time within which its answer is in time; 0 when unknown
      */
-    public record Need(boolean idempotent, double farCostMillis) {}
+    public record Need(boolean idempotent, double targetMillis) {}
 
     /**
      * A chosen home.
@@ -154,5 +192,5 @@
      */
     public record Choice(HomeView home, boolean lastResort) {}
 
-    private record Priced(HomeView home, double cost) {}
+    private record Priced(HomeView home, double loss) {}
 }
--- a/coordination/src/test/java/org/sardineshunt/coordination/health/UpstreamHealthTest.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/health/UpstreamHealthTest.java
@@ -129,6 +129,19 @@
     }
 
     /** Requests fail after their work when a service that they call is in trouble; the trial must not fail for that. */
+    /** A service without idempotent work has nothing to test its upstreams with. */
+    @Test
+    void aTrialThatNobodyTestsEndsWell() {
+        UpstreamHealth untested = new UpstreamHealth(HealthPolicy.builder()
+                .ejectionMillis(1_000, 1_000, 1_000)
+                .untestedTrialMillis(3_000)
+                .build());
+        IntStream.range(0, 100).forEach(index -> untested.record(0, Outcome.FAILURE, 1));
+
+        assertThat(untested.condition(3_999), is(Condition.TRIAL));
+        assertThat(untested.condition(4_000), is(Condition.HEALTHY));
+    }
+
     @Test
     void lateErrorsDoNotProlongATrial() {
         UpstreamHealth health = new UpstreamHealth(HealthPolicy.builder()
--- a/coordination/src/test/java/org/sardineshunt/coordination/placement/PlacementPolicyTest.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/placement/PlacementPolicyTest.java
@@ -12,8 +12,8 @@
 import static org.hamcrest.Matchers.is;
 
 class PlacementPolicyTest {
-    private static final Need BOOKING = new Need(false, 300);
-    private static final Need LOOKUP = new Need(true, 300);
+    private static final Need BOOKING = new Need(false, 1_500);
+    private static final Need LOOKUP = new Need(true, 1_500);
 
     private final PlacementPolicy policy =
             new PlacementPolicy(Rotation.builder().floorShare(0.7).build(), 0.2);
@@ -28,6 +28,13 @@
         assertThat(chosen(BOOKING, near("a", 12), far("b", 0)), is("b"));
     }
 
+    /** The own data centre has twice the load that it can take; waiting there would make every answer late. */
+    @Test
+    void leavesAFullDataCentreAsSoonAsAnswersThereWouldBeLate() {
+        assertThat(chosen(BOOKING, near("a", 8), far("b", 6)), is("b"));
+        assertThat(chosen(new Need(false, 8_000), near("a", 8), far("b", 6)), is("a"));
+    }
+
     /** Requests that took 1 ms so far hang now: they must not pile up where no slot is free while others are idle. */
     @Test
     void prefersAFreeSlotToAWaitThatSeemsShort() {
@@ -80,6 +87,34 @@
         assertThat(chosen(BOOKING, onTrial, near("a", 0), near("b", 0), near("c", 0)), is("a"));
     }
 
+    /** A gray upstream's trial mostly fails again; a booking that fails there can't be repeated. */
+    @Test
+    void keepsBookingsAwayFromATrialHoweverLongTheOthersTake() {
+        HomeView onTrial = home("trial", true, 0, 5, Condition.TRIAL);
+
+        assertThat(chosen(BOOKING, onTrial, near("a", 40)), is("a"));
+        assertThat(
+                policy.choose(List.of(onTrial, near("a", 40)), Set.of("a"), BOOKING, () -> 0)
+                        .isEmpty(),
+                is(true));
+        assertThat(chosen(BOOKING, onTrial), is("trial"));
+    }
+
+    @Test
+    void spreadsTrialsOverAllHomesOnTrial() {
+        HomeView first = home("first", true, 0, 5, Condition.TRIAL);
+        HomeView second = home("second", true, 0, 5, Condition.TRIAL);
+        double[] draws = {0, 0.9};
+        int[] next = {0};
+
+        PlacementPolicy.Choice choice = policy.choose(
+                        List.of(first, second, near("a", 0)), Set.of(), LOOKUP, () -> draws[next[0]++])
+                .orElseThrow();
+
+        assertThat(choice.home().nodeId(), is("second"));
+        assertThat("a trial is not a last resort", choice.lastResort(), is(false));
+    }
+
     @Test
     void triesNoHomeTwice() {
         assertThat(
--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -52,7 +52,7 @@
  * <p>Thread-safe: all state belongs to the control thread.
  */
 public final class Engine {
-    private static final double TRIAL_SHARE = 0.2;
+    private static final double TRIAL_SHARE = 0.35;
     private static final int CRASH_VICTIMS = 2;
     private static final long CRASH_MEMORY_MILLIS = 120_000;
     private static final long LOAD_PERIOD_MILLIS = 30;
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
@@ -254,7 +254,7 @@
         if (!isAccepting(now)) {
             return Optional.of(Reason.BACKEND_SERVER_REFUSED);
         }
-        if (!attempt.getLastResort() && judge.condition() == Condition.UNHEALTHY) {
+        if (!attempt.getLastResort() && !fits(judge.condition(), attempt)) {
             return Optional.of(Reason.OUT_OF_ROTATION);
         }
         return crashes.refuses(now, String.valueOf(attempt.getFingerprint()))
@@ -262,6 +262,16 @@
                 : Optional.empty();
     }
 
+    // A trial takes one idempotent request at a time: entries that know the same would all send one.
+    private boolean fits(Condition condition, Attempt attempt) {
+        boolean idle = gate.inFlight() == 0 && gate.queued() == 0;
+        return switch (condition) {
+            case HEALTHY -> true;
+            case TRIAL -> idle && attempt.getIdempotent();
+            case UNHEALTHY -> false;
+        };
+    }
+
     private boolean isAccepting(long now) {
         return !stopping
                 && now >= pausedUntilMillis
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamJudge.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamJudge.java
@@ -27,6 +27,9 @@
     private static final double USUAL_PERMILLE = 167;
     private static final double SLOW_FACTOR = 6;
 
+    // A gray episode lasts several seconds; by then an upstream that nobody could test is rather sound than gray.
+    private static final long UNTESTED_TRIAL_MILLIS = 5_000;
+
     private final ControlLoop control;
     private final EventLog log;
     private final Counters counters;
@@ -194,10 +197,12 @@
         }
     }
 
-    // Nobody sends work to an ejected upstream, so nobody would learn from answers that its trial has begun.
+    // Nobody sends work to an ejected upstream, so nobody would learn from answers that its trial has begun or ended.
     private void tellTrial(Condition condition) {
         if (condition == Condition.UNHEALTHY) {
-            control.after(health.ejectedUntilMillis() - control.nowMillis() + 1, listener::healthChanged);
+            long ejectedMillis = health.ejectedUntilMillis() - control.nowMillis();
+            control.after(ejectedMillis + 1, listener::healthChanged);
+            control.after(ejectedMillis + UNTESTED_TRIAL_MILLIS + 1, listener::healthChanged);
         }
     }
 
@@ -209,6 +214,7 @@
                 .slowFactor(SLOW_FACTOR)
                 .ejectionMillis(1_000, 1_300, 2_600)
                 .trialSuccesses(2)
+                .untestedTrialMillis(UNTESTED_TRIAL_MILLIS)
                 .fastFailureShare(0.1)
                 .build());
     }
--- a/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
@@ -46,7 +46,6 @@
     private static final long ANSWER_MARGIN_MILLIS = 40;
     private static final int MOST_REDIRECTS = 8;
     private static final double RETRY_RESERVE = 3;
-    private static final double FAR_COST_OF_TARGET = 0.35;
     private static final long AVOID_UNREACHABLE_MILLIS = 1_500;
     private static final long AVOID_REFUSING_MILLIS = 150;
     private static final long NOT_READY_RETRY_MILLIS = 500;
@@ -157,9 +156,8 @@
         send(flow, choice.get(), left);
     }
 
-    // Bytes between data centres are dear, and waiting costs a caller little until the route's target is near.
     private static PlacementPolicy.Need need(Flow flow) {
-        return new PlacementPolicy.Need(flow.route.idempotent(), FAR_COST_OF_TARGET * flow.route.targetLatencyMillis());
+        return new PlacementPolicy.Need(flow.route.idempotent(), flow.route.targetLatencyMillis());
     }
 
     private void send(Flow flow, PlacementPolicy.Choice choice, long left) {
