Tell far entries of a full home, and serve calls of running requests first

Ruled out: load to all nodes at the rate of the own data centre (27 nodes at 30 ms: bytes between data centres are dear). Change: homes tell nodes that sent work within 10 s when the wait changes by a factor of two, at most 4 times a second; a change of phase or a stop is told to all. Calls are known by the id of the request that made them.

--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -16,6 +16,7 @@
 import org.sardineshunt.coordination.Rendezvous;
 import org.sardineshunt.coordination.announcement.Announcement;
 import org.sardineshunt.coordination.once.CrashGuard;
+import org.sardineshunt.coordination.placement.LoadAudience;
 import org.sardineshunt.coordination.placement.PlacementPolicy;
 import org.sardineshunt.coordination.rotation.Rotation;
 import org.sardineshunt.coordination.route.FleetConfiguration;
@@ -76,6 +77,7 @@
     private final PeerNetwork network;
     private final HttpServer callerServer;
     private final CrashGuard crashes = new CrashGuard(CRASH_VICTIMS, CRASH_MEMORY_MILLIS);
+    private final LoadAudience farAudience = new LoadAudience();
     private volatile FleetConfiguration configuration;
     private volatile boolean ready;
     private volatile boolean stopping;
@@ -85,6 +87,7 @@
     private EntryService entry;
     private PeerAddress ownAddress;
     private boolean loadScheduled;
+    private boolean farScheduled;
 
     /** Creates an engine that doesn't listen yet. */
     public Engine(EngineSettings settings, EventLog log, Counters counters) {
@@ -282,11 +285,33 @@
 
     private void shareLoad() {
         loadScheduled = false;
-        tellLoad(homeTable.near());
+        HomeLoad load = home.load();
+        tellLoad(load, homeTable.near());
+        shareFar(load);
     }
 
-    private void tellLoad(Stream<KnownNode> nodes) {
-        HomeLoad load = home.load();
+    private void shareFar(HomeLoad load) {
+        long now = control.nowMillis();
+        boolean free = load.getInFlight() < load.getSlots();
+        double waitMillis = load.getWaitMillis(load.getWaitMillisCount() - 1);
+        if (farAudience.mustTell(now, free, waitMillis)) {
+            tellLoad(load, farNodes(now));
+        }
+        long heldBackMillis = farAudience.heldBackMillis(now, free, waitMillis);
+        if (heldBackMillis > 0 && !farScheduled) {
+            farScheduled = true;
+            control.after(heldBackMillis, () -> {
+                farScheduled = false;
+                shareFar(home.load());
+            });
+        }
+    }
+
+    private Stream<KnownNode> farNodes(long now) {
+        return farAudience.nodes(now).stream().map(directory::node).flatMap(Optional::stream);
+    }
+
+    private void tellLoad(HomeLoad load, Stream<KnownNode> nodes) {
         homeTable.report(settings.nodeId(), load);
         network.tell(
                 nodes.filter(node -> !node.stopping())
@@ -307,7 +332,7 @@
 
         @Override
         public void healthChanged() {
-            tellLoad(directory.nodes());
+            tellLoad(home.load(), directory.nodes());
         }
 
         @Override
@@ -328,7 +353,10 @@
 
     private final class PeerHandlers implements PeerNetwork.Handlers {
         @Override
-        public Runnable attempt(Attempt attempt, Consumer<Answer> onAnswer) {
+        public Runnable attempt(String nodeId, Attempt attempt, Consumer<Answer> onAnswer) {
+            if (directory.node(nodeId).filter(node -> !homeTable.isNear(node)).isPresent()) {
+                farAudience.heard(control.nowMillis(), nodeId);
+            }
             return home.attempt(attempt, onAnswer);
         }
 
@@ -350,6 +378,11 @@
     }
 
     private final class ReachableHomes implements EntryService.Homes {
+        @Override
+        public boolean runsHere(String requestId) {
+            return home.runs(requestId);
+        }
+
         @Override
         public Runnable attempt(String nodeId, Attempt attempt, Consumer<Either<PeerFailure, Answer>> onResult) {
             if (nodeId.equals(settings.nodeId())) {
--- a/engine/src/main/java/org/sardineshunt/engine/RequestHeaders.java
+++ b/engine/src/main/java/org/sardineshunt/engine/RequestHeaders.java
@@ -1,6 +1,7 @@
 package org.sardineshunt.engine;
 
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -12,6 +13,8 @@
  * @param callerService service beside which the request began
  * @param notRun set by an upstream that refused a request without running it
  * @param signature proves that an answer comes from an upstream
+ * @param callSeparator in the id of a call that a running request makes, ends the part that names that request; empty
+ *     where ids don't tell
  */
 public record RequestHeaders(
         String requestId,
@@ -19,7 +22,14 @@
         String expectedUpstream,
         String callerService,
         String notRun,
-        String signature) {
+        String signature,
+        String callSeparator) {
+    /** Returns the id of the request that made a call; empty if the id names none. */
+    public Optional<String> parentOf(String id) {
+        int end = callSeparator.isEmpty() ? -1 : id.lastIndexOf(callSeparator);
+        return end > 0 ? Optional.of(id.substring(0, end)) : Optional.empty();
+    }
+
     /** Returns whether a field from a caller is replaced by the engine's own. */
     public boolean isOwn(String name) {
         return Set.of(timeLeft, expectedUpstream, callerService).stream()
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
@@ -1,9 +1,11 @@
 package org.sardineshunt.engine.backendserver;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import io.vavr.control.Either;
@@ -56,6 +58,7 @@
     private final AnnouncementLedger announcements = new AnnouncementLedger();
     private final AttemptLedger<Answer> attempts = new AttemptLedger<>(ANSWER_RETENTION_MILLIS);
     private final Map<String, PendingAttempt> pending = new HashMap<>();
+    private final Set<String> runningRequests = new HashSet<>();
     private final long incarnation;
     private HomeGate<PendingAttempt> gate = UpstreamGate.create();
     private String upstreamId = "";
@@ -104,7 +107,7 @@
     public void stopTaking() {
         stopping = true;
         refuseWaiting(Reason.SHUTTING_DOWN);
-        listener.loadChanged();
+        listener.healthChanged();
     }
 
     /** Returns how many attempts wait or run. */
@@ -112,6 +115,11 @@
         return pending.size();
     }
 
+    /** Returns whether the upstream runs a request now. */
+    public boolean runs(String requestId) {
+        return runningRequests.contains(requestId);
+    }
+
     /** Runs, queues or refuses an attempt; returns an action that cancels it. */
     public Runnable attempt(Attempt attempt, Consumer<Answer> onAnswer) {
         long now = control.nowMillis();
@@ -198,7 +206,7 @@
         long due = attempt.getTargetMillis() == 0 ? deadline : work.arrivedMillis() + attempt.getTargetMillis();
         return new Work<>(
                 attempt.getAttemptId(),
-                UpstreamGate.name(attempt.getRank()),
+                UpstreamGate.rank(attempt),
                 deadline,
                 Math.min(due, deadline),
                 serviceMillis,
@@ -226,7 +234,7 @@
                     .with("sequence", now.sequence())
                     .with("born", now.born())
                     .write();
-            listener.loadChanged();
+            listener.healthChanged();
         }
         startWaiting(control.nowMillis());
         return otherStart || otherPhase;
@@ -293,6 +301,7 @@
         Attempt attempt = work.attempt();
         String id = attempt.getAttemptId();
         attempts.start(id);
+        runningRequests.add(attempt.getRequestId());
         long leftMillis = work.arrivedMillis() + attempt.getLeftMillis() - now;
         work.started(
                 now,
@@ -311,6 +320,7 @@
         long millis = now - work.startedMillis();
         Answer.Builder builder = upstreamCall.answer(outcome);
         boolean success = builder.getVerdict() == Verdict.RAN.ordinal() && builder.getStatus() < 500;
+        runningRequests.remove(attempt.getRequestId());
         notePath(outcome);
         judge.ended(work, outcome, success, millis);
         pending.remove(id);
--- a/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
@@ -124,6 +124,8 @@
         }
         Flow flow = new Flow(exchange, requestId, route.get(), known.get().version(), now, fingerprint);
         flow.service = route.get().service(random.nextDouble());
+        flow.fromRunningRequest =
+                settings.headers().parentOf(requestId).filter(homes::runsHere).isPresent();
         flow.deadlineMillis = now + leftMillis(request, route.get());
         flows.add(flow);
         budget(flow).recordFirstAttempt();
@@ -148,7 +150,10 @@
             return;
         }
         Optional<PlacementPolicy.Choice> choice = placement.choose(
-                homeTable.homes(flow.service, flow.route.rank()), flow.tried, need(flow), random::nextDouble);
+                homeTable.homes(flow.service, flow.route.rank(), flow.fromRunningRequest),
+                flow.tried,
+                need(flow),
+                random::nextDouble);
         if (choice.isEmpty() || flow.redirects > MOST_REDIRECTS) {
             giveUp(flow);
             return;
@@ -212,6 +217,7 @@
                 .setLastResort(lastResort)
                 .setFingerprint(flow.fingerprint)
                 .setRoute(flow.route.name())
+                .setFromRunningRequest(flow.fromRunningRequest)
                 .setTargetMillis((int) flow.route.targetLatencyMillis())
                 .build();
     }
@@ -314,7 +320,7 @@
         if (flow.lastReason == Reason.NO_UPSTREAM) {
             return NO_UPSTREAM_RETRY_MILLIS;
         }
-        double expected = homeTable.homes(flow.service, flow.route.rank()).stream()
+        double expected = homeTable.homes(flow.service, flow.route.rank(), flow.fromRunningRequest).stream()
                 .mapToDouble(HomeView::waitMillis)
                 .min()
                 .orElse(NO_UPSTREAM_RETRY_MILLIS);
@@ -421,6 +427,9 @@
 
     /** Reaches homes, on this node or on others. */
     public interface Homes {
+        /** Returns whether the upstream beside this node runs a request now. */
+        boolean runsHere(String requestId);
+
         /** Sends an attempt and returns an action that cancels it. */
         Runnable attempt(
                 String home, Attempt attempt, java.util.function.Consumer<Either<PeerFailure, Answer>> onResult);
--- a/engine/src/main/java/org/sardineshunt/engine/caller/Flow.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/Flow.java
@@ -26,6 +26,7 @@
     Answer failedAnswer;
     String lastHome = "";
     String service;
+    boolean fromRunningRequest;
     long deadlineMillis;
     int offered;
     int redirects;
--- a/engine/src/main/java/org/sardineshunt/engine/caller/HomeTable.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/HomeTable.java
@@ -16,7 +16,8 @@
 
 /** What this node knows of the homes of each service. Belongs to the control thread. */
 public final class HomeTable {
-    private static final long LOAD_LIFE_MILLIS = 2_000;
+    // Homes repeat their load within this time as long as work waits there.
+    private static final long LOAD_LIFE_MILLIS = 5_000;
     private static final long BASELINE_LIFE_MILLIS = 10_000;
     private static final int BASELINE_REQUESTS = 1;
     private static final int ASSUMED_REQUESTS = 1_000;
@@ -33,15 +34,19 @@
         this.dataCentre = dataCentre;
     }
 
-    /** Returns the homes of a service that take work as far as is known, as work of a rank sees them. */
-    public List<HomeView> homes(String service, int rank) {
+    /**
+     * Returns the homes of a service that take work as far as is known, as work of a rank sees them.
+     *
+     * @param fromRunningRequest whether a running request makes the call, so that it waits less
+     */
+    public List<HomeView> homes(String service, int rank, boolean fromRunningRequest) {
         long now = timers.nowMillis();
         double usualMillis = baseline(service).medianLatencyMillis();
         return directory
                 .nodes()
                 .filter(node -> !node.stopping() && serves(node, service))
                 .sorted(java.util.Comparator.comparing(node -> node.address().nodeId()))
-                .map(node -> view(now, node, rank, usualMillis))
+                .map(node -> view(now, node, fromRunningRequest ? 0 : 1 + rank, usualMillis))
                 .toList();
     }
 
@@ -109,10 +114,15 @@
 
     /** Returns the nodes of the own data centre. */
     public Stream<KnownNode> near() {
-        return directory.nodes().filter(node -> node.dataCentre().equals(dataCentre));
+        return directory.nodes().filter(this::isNear);
     }
 
-    private HomeView view(long now, KnownNode node, int rank, double usualMillis) {
+    /** Returns whether a node is in the own data centre. */
+    public boolean isNear(KnownNode node) {
+        return node.dataCentre().equals(dataCentre);
+    }
+
+    private HomeView view(long now, KnownNode node, int queue, double usualMillis) {
         String nodeId = node.address().nodeId();
         Known home = home(nodeId);
         int slots = Math.max(1, node.upstream().orElseThrow().slots());
@@ -121,13 +131,13 @@
         int busy = Math.max(reported, home.outstanding);
         double serviceMillis =
                 home.load == null || home.load.getServiceMillis() == 0 ? usualMillis : home.load.getServiceMillis();
-        double reportedWait = fresh ? waitMillis(home.load, rank) : 0;
+        double reportedWait = fresh ? waitMillis(home.load, queue) : 0;
         int unseen = fresh ? home.sentSince : home.outstanding;
         int free = fresh ? Math.max(0, slots - home.load.getInFlight()) : slots;
         double wait = reportedWait + Math.max(0, unseen + 1 - free) * serviceMillis / slots;
         return new HomeView(
                 nodeId,
-                node.dataCentre().equals(dataCentre),
+                isNear(node),
                 slots,
                 busy,
                 reportedWait > 0 || busy >= slots ? wait : 0,
@@ -137,9 +147,9 @@
                 fresh && !home.load.getAccepting() || now < home.avoidedUntilMillis);
     }
 
-    private static double waitMillis(HomeLoad load, int rank) {
+    private static double waitMillis(HomeLoad load, int queue) {
         int known = load.getWaitMillisCount();
-        return known == 0 ? 0 : load.getWaitMillis(Math.min(rank, known - 1));
+        return known == 0 ? 0 : load.getWaitMillis(Math.min(queue, known - 1));
     }
 
     private static boolean serves(KnownNode node, String service) {
--- a/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
@@ -141,7 +141,7 @@
     /** Takes what other nodes send, on the control thread. */
     public interface Handlers {
         /** Runs an attempt and returns an action that cancels it. */
-        Runnable attempt(Attempt attempt, Consumer<Answer> onAnswer);
+        Runnable attempt(String nodeId, Attempt attempt, Consumer<Answer> onAnswer);
 
         /** Tells the end of an attempt whose link was lost. */
         void inquire(Inquiry inquiry, Consumer<Answer> onAnswer);
@@ -173,6 +173,7 @@
                 case ATTEMPT -> cancellations.put(
                         correlation,
                         handlers.attempt(
+                                nodeId,
                                 frame.getAttempt(),
                                 answer -> control.execute(() -> reply(frames, correlation, answer))));
                 case INQUIRY -> handlers.inquire(frame.getInquiry(), answer -> reply(frames, correlation, answer));
--- a/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
@@ -30,7 +30,7 @@
     private static final long TARGET_MILLIS = 600_000;
     private static final long BORN = 1_000;
     private static final RequestHeaders HEADERS =
-            new RequestHeaders("X-Request", "X-Left", "X-Expected", "X-Caller", "X-Not-Run", "X-Signature");
+            new RequestHeaders("X-Request", "X-Left", "X-Expected", "X-Caller", "X-Not-Run", "X-Signature", "/");
 
     private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final HttpClient client = new HttpClient((EventLoop) loops.next(), "X-Request");
@@ -139,8 +139,11 @@
     }
 
     Sent send(int entry, String method, String path, long leftMillis) {
+        return send(entry, method, path, leftMillis, "request-" + ++requests);
+    }
+
+    Sent send(int entry, String method, String path, long leftMillis, String id) {
         CompletableFuture<HttpOutcome> outcome = new CompletableFuture<>();
-        String id = "request-" + ++requests;
         HttpClient.Call call = client.send(
                 new InetSocketAddress("127.0.0.1", callerPorts.get(entry)),
                 new HttpRequestData(
--- /dev/null
+++ b/engine/src/test/java/org/sardineshunt/engine/RunningRequestTest.java
@@ -0,0 +1,48 @@
+package org.sardineshunt.engine;
+
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.sardineshunt.engine.http.HttpExchange;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class RunningRequestTest {
+    private static final int SLOTS = 4;
+
+    private final EngineFleet fleet = new EngineFleet(1);
+
+    @AfterEach
+    void close() {
+        fleet.close();
+    }
+
+    /** A request that waits for its own call keeps a slot from others, so the call goes before new and urgent work. */
+    @Test
+    void callsOfARunningRequestGoBeforeNewWork() {
+        fleet.upstream(0).behave(exchange -> {});
+        List<EngineFleet.Sent> running = IntStream.range(0, SLOTS)
+                .mapToObj(index -> fleet.send(0, "POST", EngineFleet.BOOKING, 4_000))
+                .toList();
+        Await.until("all slots are taken", () -> fleet.arrivals() == SLOTS);
+        fleet.send(0, "POST", EngineFleet.BOOKING, 4_000, "waiting");
+        fleet.send(0, "GET", EngineFleet.LOOKUP, 4_000, running.get(0).id() + "/call");
+        Await.until(
+                "both wait",
+                () -> fleet.lines().stream()
+                                .filter(line -> line.contains("attempt-sent"))
+                                .filter(line -> line.contains("\"waiting\"") || line.contains("/call\""))
+                                .count()
+                        == 2);
+
+        fleet.upstream(0).succeed(fleet.upstream(0).arrived().get(1));
+
+        Await.until("a slot was given on", () -> fleet.arrivals() == SLOTS + 1);
+        HttpExchange next = fleet.upstream(0).arrived().get(SLOTS);
+        assertThat(
+                next.request().field("X-Request").orElse(""), is(running.get(0).id() + "/call"));
+    }
+}
