Give a call the rank of the running request that makes it

Cause: calls went before all new work, also reservations' calls before payments at the billing service, which the users rank first. Ruled out: keeping calls in their own route's rank (they waited behind new reservations). Change: a call has its caller's rank and goes before new work of that rank; reported waits follow. Not measured apart; test UpstreamGateTest.

--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -1,6 +1,7 @@
 package org.sardineshunt.engine;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -410,8 +411,8 @@
 
     private final class ReachableHomes implements EntryService.Homes {
         @Override
-        public boolean runsHere(String requestId) {
-            return home.runs(requestId);
+        public OptionalInt rankOfRunning(String requestId) {
+            return home.rankOfRunning(requestId);
         }
 
         @Override
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
@@ -1,11 +1,10 @@
 package org.sardineshunt.engine.backendserver;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.OptionalInt;
 import java.util.function.Consumer;
 
 import io.vavr.control.Either;
@@ -58,7 +57,7 @@
     private final AnnouncementLedger announcements = new AnnouncementLedger();
     private final AttemptLedger<Answer> attempts = new AttemptLedger<>(ANSWER_RETENTION_MILLIS);
     private final Map<String, PendingAttempt> pending = new HashMap<>();
-    private final Set<String> runningRequests = new HashSet<>();
+    private final Map<String, Integer> rankByRunningRequest = new HashMap<>();
     private final long incarnation;
     private HomeGate<PendingAttempt> gate = UpstreamGate.create();
     private String upstreamId = "";
@@ -115,9 +114,10 @@
         return pending.size();
     }
 
-    /** Returns whether the upstream runs a request now. */
-    public boolean runs(String requestId) {
-        return runningRequests.contains(requestId);
+    /** Returns the rank of a request that the upstream runs now; empty if it runs none such. */
+    public OptionalInt rankOfRunning(String requestId) {
+        Integer rank = rankByRunningRequest.get(requestId);
+        return rank == null ? OptionalInt.empty() : OptionalInt.of(rank);
     }
 
     /** Runs, queues or refuses an attempt; returns an action that cancels it. */
@@ -301,7 +301,7 @@
         Attempt attempt = work.attempt();
         String id = attempt.getAttemptId();
         attempts.start(id);
-        runningRequests.add(attempt.getRequestId());
+        rankByRunningRequest.put(attempt.getRequestId(), attempt.getRank());
         long leftMillis = work.arrivedMillis() + attempt.getLeftMillis() - now;
         work.started(
                 now,
@@ -320,7 +320,7 @@
         long millis = now - work.startedMillis();
         Answer.Builder builder = upstreamCall.answer(outcome);
         boolean success = builder.getVerdict() == Verdict.RAN.ordinal() && builder.getStatus() < 500;
-        runningRequests.remove(attempt.getRequestId());
+        rankByRunningRequest.remove(attempt.getRequestId());
         notePath(outcome);
         judge.ended(work, outcome, success, millis);
         pending.remove(id);
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamGate.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamGate.java
@@ -9,15 +9,14 @@
 import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
 
 /**
- * The queue in front of one upstream: first the calls that running requests make, then work by the number of its rank.
+ * The queue in front of one upstream, by rank; within a rank the calls that running requests make go before new work.
  *
- * <p>A call is preferred whatever its rank, because the request that made it holds a slot until the call is answered.
- * There are never more of them than slots in the fleet, so they starve nobody.
+ * <p>A request that makes a call holds a slot until the call is answered, so a call has the rank of that request. There
+ * are never more calls than slots in the fleet, so they starve nobody of their rank.
  */
 final class UpstreamGate {
     private static final int RANKS = 8;
     private static final int REPORTED_RANKS = 3;
-    private static final String CALLS = "calls";
     private static final double GUARANTEED_SHARE = 0.05;
     private static final int QUEUE_LIMIT_PER_RANK = 64;
     private static final double EXPECTED_SERVICE_MILLIS = 300;
@@ -25,10 +24,10 @@
     private UpstreamGate() {}
 
     static HomeGate<PendingAttempt> create() {
-        Stream<Rank> byNumber = IntStream.range(0, RANKS)
-                .mapToObj(order -> new Rank(name(order), 1 + order, order == 0 ? 0 : GUARANTEED_SHARE));
-        List<Rank> ranks =
-                Stream.concat(Stream.of(new Rank(CALLS, 0, 0)), byNumber).toList();
+        List<Rank> ranks = IntStream.range(0, RANKS)
+                .boxed()
+                .flatMap(order -> Stream.of(rank(order, true), rank(order, false)))
+                .toList();
         return HomeGate.<PendingAttempt>builder()
                 .ranks(ranks)
                 .slots(1)
@@ -37,20 +36,26 @@
                 .build();
     }
 
-    /** Returns the expected wait of new work: of calls, then by rank. */
+    /** Returns the expected wait by rank, for each rank that of calls and that of new work. */
     static List<Integer> waitMillis(HomeGate<PendingAttempt> gate) {
-        return Stream.concat(
-                        Stream.of(CALLS), IntStream.range(0, REPORTED_RANKS).mapToObj(UpstreamGate::name))
+        return IntStream.range(0, REPORTED_RANKS)
+                .boxed()
+                .flatMap(order -> Stream.of(name(order, true), name(order, false)))
                 .map(rank -> (int) gate.expectedWaitMillis(rank))
                 .toList();
     }
 
     /** Returns the rank in which an attempt waits. */
     static String rank(Attempt attempt) {
-        return attempt.getFromRunningRequest() ? CALLS : name(attempt.getRank());
+        return name(attempt.getRank(), attempt.getFromRunningRequest());
+    }
+
+    private static Rank rank(int order, boolean calls) {
+        int position = 2 * order + (calls ? 0 : 1);
+        return new Rank(name(order, calls), position, order == 0 ? 0 : GUARANTEED_SHARE);
     }
 
-    private static String name(int order) {
-        return String.valueOf(Math.min(order, RANKS - 1));
+    private static String name(int order, boolean calls) {
+        return Math.min(order, RANKS - 1) + (calls ? "-calls" : "");
     }
 }
--- a/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -123,8 +124,10 @@
         }
         Flow flow = new Flow(exchange, requestId, route.get(), known.get().version(), now, fingerprint);
         flow.service = route.get().service(random.nextDouble());
-        flow.fromRunningRequest =
-                settings.headers().parentOf(requestId).filter(homes::runsHere).isPresent();
+        OptionalInt rankOfCaller =
+                settings.headers().parentOf(requestId).map(homes::rankOfRunning).orElse(OptionalInt.empty());
+        flow.fromRunningRequest = rankOfCaller.isPresent();
+        flow.rank = rankOfCaller.orElse(route.get().rank());
         flow.deadlineMillis = now + leftMillis(request, route.get());
         flows.add(flow);
         budget(flow).recordFirstAttempt();
@@ -149,7 +152,7 @@
             return;
         }
         Optional<PlacementPolicy.Choice> choice = placement.choose(
-                homeTable.homes(flow.service, flow.route.rank(), flow.fromRunningRequest),
+                homeTable.homes(flow.service, flow.rank, flow.fromRunningRequest),
                 flow.tried,
                 need(flow),
                 random::nextDouble);
@@ -205,7 +208,7 @@
                 .setAttemptId(attemptId)
                 .setRequestId(flow.requestId)
                 .setService(flow.service)
-                .setRank(flow.route.rank())
+                .setRank(flow.rank)
                 .setIdempotent(flow.route.idempotent())
                 .setLeftMillis((int) left)
                 .setMethod(request.method())
@@ -322,7 +325,7 @@
         if (flow.lastReason == Reason.NO_UPSTREAM) {
             return NO_UPSTREAM_RETRY_MILLIS;
         }
-        double expected = homeTable.homes(flow.service, flow.route.rank(), flow.fromRunningRequest).stream()
+        double expected = homeTable.homes(flow.service, flow.rank, flow.fromRunningRequest).stream()
                 .mapToDouble(HomeView::waitMillis)
                 .min()
                 .orElse(NO_UPSTREAM_RETRY_MILLIS);
@@ -429,8 +432,8 @@
 
     /** Reaches homes, on this node or on others. */
     public interface Homes {
-        /** Returns whether the upstream beside this node runs a request now. */
-        boolean runsHere(String requestId);
+        /** Returns the rank of a request that the upstream beside this node runs now; empty if it runs none such. */
+        OptionalInt rankOfRunning(String requestId);
 
         /** Sends an attempt and returns an action that cancels it. */
         Runnable attempt(
--- a/engine/src/main/java/org/sardineshunt/engine/caller/Flow.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/Flow.java
@@ -27,6 +27,7 @@
     String lastHome = "";
     String service;
     boolean fromRunningRequest;
+    int rank;
     long deadlineMillis;
     int offered;
     int redirects;
--- a/engine/src/main/java/org/sardineshunt/engine/caller/HomeTable.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/HomeTable.java
@@ -54,7 +54,7 @@
                 .nodes()
                 .filter(node -> !node.stopping() && serves(node, service) && reachable.test(node.address()))
                 .sorted(java.util.Comparator.comparing(node -> node.address().nodeId()))
-                .map(node -> view(now, node, fromRunningRequest ? 0 : 1 + rank, usualMillis))
+                .map(node -> view(now, node, 2 * rank + (fromRunningRequest ? 0 : 1), usualMillis))
                 .toList();
     }
 
@@ -157,7 +157,7 @@
 
     private static double waitMillis(HomeLoad load, int queue) {
         int known = load.getWaitMillisCount();
-        return known == 0 ? 0 : load.getWaitMillis(Math.min(queue, known - 1));
+        return known < 2 ? 0 : load.getWaitMillis(Math.min(queue, known - 2 + queue % 2));
     }
 
     private static boolean serves(KnownNode node, String service) {
--- /dev/null
+++ b/engine/src/test/java/org/sardineshunt/engine/backendserver/UpstreamGateTest.java
@@ -0,0 +1,41 @@
+package org.sardineshunt.engine.backendserver;
+
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+import org.sardineshunt.coordination.limit.HomeGate;
+import org.sardineshunt.coordination.limit.Work;
+import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class UpstreamGateTest {
+    private static final long DEADLINE_MILLIS = 60_000;
+
+    private final HomeGate<PendingAttempt> gate = UpstreamGate.create();
+
+    /** Payments at a service that reservations call: a reservation's call must not keep a payment waiting. */
+    @Test
+    void startsByRankAndWithinARankCallsOfRunningRequestsFirst() {
+        gate.offer(0, work("running", 0, false));
+        gate.offer(0, work("new-1", 1, false));
+        gate.offer(0, work("call-1", 1, true));
+        gate.offer(0, work("new-0", 0, false));
+        gate.offer(0, work("call-0", 0, true));
+
+        List<String> started = IntStream.range(0, 4)
+                .mapToObj(index -> gate.finish(0, 100).get(0).id())
+                .toList();
+
+        assertThat(started, is(List.of("call-0", "new-0", "call-1", "new-1")));
+    }
+
+    private static Work<PendingAttempt> work(String id, int rank, boolean call) {
+        Attempt attempt =
+                Attempt.newBuilder().setRank(rank).setFromRunningRequest(call).build();
+        return new Work<>(
+                id, UpstreamGate.rank(attempt), DEADLINE_MILLIS, new PendingAttempt(attempt, 0, answer -> {}));
+    }
+}
