Refuse work at once that would be late in a lasting overload

Change: late work waits for what timely work leaves, by the timely load that had to wait in the last 1.5 s; work counts as timely only with 1.25 service times left; late work is looked at again every 400 ms.

--- a/coordination/src/main/java/org/sardineshunt/coordination/limit/HomeGate.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/limit/HomeGate.java
@@ -27,7 +27,9 @@
  * <p>Waiting work is started by rank order, within a rank by the time at which it is due; work that can't be in time any
  * more comes after work that can. A rank with a guaranteed share earns that part of a start whenever another
  * rank is preferred to it, so that no flood starves it. Work whose expected wait plus expected service time passes its
- * deadline is refused at once instead of after the wait. Not thread-safe.
+ * deadline is refused at once instead of after the wait. Work that will be late waits for the capacity that timely work
+ * leaves, now and in the time that it waits, so in a lasting overload it is refused at once too, and slots go to work
+ * that ends in time. Not thread-safe.
  *
  * @param <T> what the caller attaches to its work
  */
@@ -36,6 +38,14 @@
     private static final double HIGHEST_CREDIT = 2;
     private static final double SERVICE_ALLOWANCE = 1.5;
 
+    // Service times spread by about a quarter; work that is started with less time than that mostly ends late.
+    private static final double TIMELY_ALLOWANCE = 1.25;
+
+    // How far back the load by timely work is counted, and the largest factor by which it prolongs the wait of late
+    // work.
+    private static final double LOAD_WINDOW_MILLIS = 1_500;
+    private static final double HIGHEST_GROWTH = 20;
+
     private final Map<String, Rank> ranks;
     private final Map<String, Deque<Work<T>>> queues = new LinkedHashMap<>();
     private final Map<String, Double> credits = new LinkedHashMap<>();
@@ -45,6 +55,8 @@
     private int limit;
     private int inFlight;
     private double meanServiceMillis;
+    private double timelyMillis;
+    private long timelyAtMillis;
 
     private HomeGate(Builder<T> builder) {
         ranks = new LinkedHashMap<>();
@@ -87,6 +99,9 @@
         if (refuseWithoutSlack && lacksSlack(nowMillis, work)) {
             return Either.left(Reason.DEADLINE_SLACK);
         }
+        if (mayStartInTime(nowMillis, work, waitMillis(nowMillis, work))) {
+            countTimely(nowMillis, work);
+        }
         queue.add(work);
         return Either.right(false);
     }
@@ -123,19 +138,18 @@
     /**
      * Removes work that is late and is not expected to start in time for its deadline, so that its caller can turn
      * elsewhere while there is time; empty if it goes on waiting or isn't waiting.
-     *
-     * @param waitFactor by how much the expected wait is taken to grow by timely work that still comes
      */
-    public Optional<Work<T>> removeIfHopeless(long nowMillis, String id, double waitFactor) {
-        return queues.values().stream()
-                .flatMap(Deque::stream)
-                .filter(work -> work.id().equals(id))
-                .filter(work -> waitMillis(nowMillis, work) * waitFactor + SERVICE_ALLOWANCE * serviceMillis(work)
-                        > work.deadlineMillis() - nowMillis)
-                .findFirst()
+    public Optional<Work<T>> removeIfHopeless(long nowMillis, String id) {
+        return waiting(id)
+                .filter(work -> isHopeless(nowMillis, work, waitMillis(nowMillis, work)))
                 .flatMap(work -> remove(id));
     }
 
+    /** Returns whether work waits. */
+    public boolean isWaiting(String id) {
+        return waiting(id).isPresent();
+    }
+
     /** Removes and returns waiting work that fulfils a condition. */
     public List<Work<T>> removeWaiting(Predicate<Work<T>> condition) {
         List<Work<T>> removed = queues.values().stream()
@@ -199,9 +213,38 @@
         return work.serviceMillis() > 0 ? work.serviceMillis() : meanServiceMillis;
     }
 
+    private Optional<Work<T>> waiting(String id) {
+        return queues.values().stream()
+                .flatMap(Deque::stream)
+                .filter(work -> work.id().equals(id))
+                .findFirst();
+    }
+
     private boolean lacksSlack(long nowMillis, Work<T> work) {
+        double wait = waitMillis(nowMillis, work);
         double slack = work.deadlineMillis() - nowMillis;
-        return waitMillis(nowMillis, work) + SERVICE_ALLOWANCE * serviceMillis(work) > slack;
+        return wait + SERVICE_ALLOWANCE * serviceMillis(work) > slack
+                || !mayStartInTime(nowMillis, work, wait) && isHopeless(nowMillis, work, wait);
+    }
+
+    private boolean mayStartInTime(long nowMillis, Work<T> work, double wait) {
+        return nowMillis + wait + TIMELY_ALLOWANCE * serviceMillis(work) <= work.dueMillis();
+    }
+
+    // While late work waits, timely work that comes goes before it.
+    private boolean isHopeless(long nowMillis, Work<T> work, double wait) {
+        double utilization = timelyMillis(nowMillis) / LOAD_WINDOW_MILLIS / Math.max(1, limit);
+        double growth = 1 / Math.max(1 / HIGHEST_GROWTH, 1 - utilization);
+        return wait * growth + SERVICE_ALLOWANCE * serviceMillis(work) > work.deadlineMillis() - nowMillis;
+    }
+
+    private void countTimely(long nowMillis, Work<T> work) {
+        timelyMillis = timelyMillis(nowMillis) + serviceMillis(work);
+        timelyAtMillis = nowMillis;
+    }
+
+    private double timelyMillis(long nowMillis) {
+        return timelyMillis * Math.exp((timelyAtMillis - nowMillis) / LOAD_WINDOW_MILLIS);
     }
 
     private double waitMillis(long nowMillis, Work<T> work) {
@@ -250,7 +293,7 @@
     }
 
     private Comparator<Work<T>> inOrderOfStart(long nowMillis) {
-        return Comparator.comparing((Work<T> work) -> nowMillis + serviceMillis(work) > work.dueMillis())
+        return Comparator.comparing((Work<T> work) -> !mayStartInTime(nowMillis, work, 0))
                 .thenComparingLong(Work::dueMillis);
     }
 
--- a/coordination/src/test/java/org/sardineshunt/coordination/limit/HomeGateTest.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/limit/HomeGateTest.java
@@ -100,11 +100,11 @@
     void lateWorkWithoutHopeIsGivenBackEarly() {
         gate.offer(0, new Work<>("running", "booking", 60_000, 60_000, 500, "payload"));
         gate.offer(0, new Work<>("late", "booking", 5_000, 1_500, 500, "payload"));
-        assertThat(gate.removeIfHopeless(1_001, "late", 2).isEmpty(), is(true));
+        assertThat(gate.removeIfHopeless(1_001, "late").isEmpty(), is(true));
         for (int timely = 0; timely < 5; timely++) {
             gate.offer(1_001, new Work<>("timely" + timely, "booking", 60_000, 9_000, 500, "payload"));
         }
-        assertThat(gate.removeIfHopeless(1_001, "late", 2).isPresent(), is(true));
+        assertThat(gate.removeIfHopeless(1_001, "late").isPresent(), is(true));
     }
 
     @Test
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
@@ -41,7 +41,7 @@
     private static final long LONGEST_PAUSE_MILLIS = 6_400;
     private static final long EXPIRY_PERIOD_MILLIS = 1_000;
     private static final double SERVICE_ALLOWANCE = 1.2;
-    private static final double GROWTH_OF_LATE_WAIT = 2;
+    private static final long RECONSIDER_MILLIS = 400;
     private static final double SHORTEST_SERVICE_MILLIS = 50;
     private static final long UPSTREAM_MARGIN_MILLIS = 15;
 
@@ -394,8 +394,11 @@
     }
 
     private void reconsider(PendingAttempt work) {
-        gate.removeIfHopeless(control.nowMillis(), work.attempt().getAttemptId(), GROWTH_OF_LATE_WAIT)
-                .ifPresent(hopeless -> refuse(work, Reason.DEADLINE_SLACK));
+        String id = work.attempt().getAttemptId();
+        gate.removeIfHopeless(control.nowMillis(), id).ifPresent(hopeless -> refuse(work, Reason.DEADLINE_SLACK));
+        if (gate.isWaiting(id)) {
+            control.after(RECONSIDER_MILLIS, () -> reconsider(work));
+        }
     }
 
     private void giveUpWaiting(PendingAttempt work) {
