Look for a lost node as soon as its row says that it started again

Cause: a node that came back after a long cut was found only by the next probe, up to 4 s later, and machines gone for good were probed for ever. Ruled out: probing at a fixed short period (messages grow with nodes that are gone). Change: a changed incarnation starts a probe at once; probing ends two minutes after the loss.

--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -266,7 +266,7 @@
     }
 
     private void directoryChanged() {
-        homeTable.forgetFormerStarts();
+        homeTable.forgetFormerStarts(network::lookFor);
         network.retain(directory.nodes().map(KnownNode::address).collect(Collectors.toSet()));
         if (!ready) {
             recoverUpstream();
--- a/engine/src/main/java/org/sardineshunt/engine/caller/HomeTable.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/HomeTable.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
@@ -94,13 +95,14 @@
         home.avoidedUntilMillis = Math.max(home.avoidedUntilMillis, timers.nowMillis() + millis);
     }
 
-    /** Ends the avoidance of nodes that have started again. */
-    public void forgetFormerStarts() {
+    /** Ends the avoidance of nodes that have started again, and tells which they are. */
+    public void forgetFormerStarts(Consumer<PeerAddress> onStartedAgain) {
         directory.nodes().forEach(node -> {
             Known home = home(node.address().nodeId());
             if (home.incarnation != node.incarnation()) {
                 home.incarnation = node.incarnation();
                 home.avoidedUntilMillis = Long.MIN_VALUE;
+                onStartedAgain.accept(node.address());
             }
         });
     }
--- a/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
@@ -35,12 +35,15 @@
     private static final long FIRST_PROBE_MILLIS = 100;
     private static final long LONGEST_PROBE_MILLIS = 4_000;
 
+    // Cuts of machines last seconds to minutes; one that is gone for good is looked for only when its row changes.
+    private static final long PROBING_MILLIS = 120_000;
+
     private final ControlLoop control;
     private final EventLog log;
     private final EventLoopGroup loops;
     private final Hello ownHello;
     private final Map<PeerAddress, PeerLink> links = new HashMap<>();
-    private final Map<PeerAddress, Long> lost = new HashMap<>();
+    private final Map<PeerAddress, Lost> lost = new HashMap<>();
     private final Set<FrameChannel> accepted = new HashSet<>();
     private Handlers handlers;
     private Channel listener;
@@ -101,6 +104,13 @@
         return !lost.containsKey(node);
     }
 
+    /** Looks at once whether a lost node is back, because it is said to have started again. */
+    public void lookFor(PeerAddress node) {
+        if (lost.computeIfPresent(node, (address, before) -> Lost.since(control.nowMillis())) != null) {
+            probe(node);
+        }
+    }
+
     /** Gives up the nodes that are not among these. */
     public void retain(Set<PeerAddress> nodes) {
         lost.keySet().retainAll(nodes);
@@ -150,6 +160,22 @@
         }
     }
 
+    /**
+     * A node whose link was lost.
+     *
+     * @param sinceMillis when it was lost
+     * @param delayMillis pause before the next probe
+     */
+    private record Lost(long sinceMillis, long delayMillis) {
+        static Lost since(long nowMillis) {
+            return new Lost(nowMillis, FIRST_PROBE_MILLIS);
+        }
+
+        Lost probedAgain() {
+            return new Lost(sinceMillis, Math.min(LONGEST_PROBE_MILLIS, 2 * delayMillis));
+        }
+    }
+
     /** Keeps track of which nodes can be reached. */
     private final class LinkListener implements PeerLink.Listener {
         @Override
@@ -165,16 +191,19 @@
             if (!links.remove(address, link) || closed) {
                 return;
             }
-            Long last = lost.get(address);
-            if (last == null) {
+            long now = control.nowMillis();
+            Lost before = lost.get(address);
+            if (before == null) {
                 log.event("peer-lost")
                         .with("peer", address.nodeId())
                         .with("cause", cause)
                         .write();
             }
-            long delay = last == null ? FIRST_PROBE_MILLIS : Math.min(LONGEST_PROBE_MILLIS, 2 * last);
-            lost.put(address, delay);
-            control.after(delay, () -> probe(address));
+            Lost state = before == null ? Lost.since(now) : before.probedAgain();
+            lost.put(address, state);
+            if (now - state.sinceMillis() < PROBING_MILLIS) {
+                control.after(state.delayMillis(), () -> probe(address));
+            }
         }
     }
 
