Judge an upstream only by requests that its present start was sent

Each had recovered the former start from its row, sent it a request, heard of the new start, and then took the 421 of that request for one of the new start: 1,600 refusals 'backend-server-refused'. Ruled out: refused connections (no pause was logged), ejections (no change of health), lost links. Change: an attempt remembers the start it was sent to; only the present start's attempts count for its path and health.

--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
@@ -304,6 +304,7 @@
         long leftMillis = work.arrivedMillis() + attempt.getLeftMillis() - now;
         work.started(
                 now,
+                upstreamId,
                 client.send(
                         settings.upstreamAddress(),
                         upstreamCall.request(attempt, upstreamId, Math.max(1, leftMillis - UPSTREAM_MARGIN_MILLIS)),
@@ -320,8 +321,11 @@
         Answer.Builder builder = upstreamCall.answer(outcome);
         boolean success = builder.getVerdict() == Verdict.RAN.ordinal() && builder.getStatus() < 500;
         rankByRunningRequest.remove(attempt.getRequestId());
-        notePath(outcome);
-        judge.ended(work, outcome, success, millis);
+        // What a former start did says nothing of the one that has taken its place.
+        if (work.upstreamId().equals(upstreamId)) {
+            notePath(outcome);
+            judge.ended(work, outcome, success, millis);
+        }
         pending.remove(id);
         if (judge.failing()) {
             // A failing upstream takes no time, so it would run through its whole queue before anyone knew.
@@ -341,7 +345,7 @@
             log.event("attempt-failed")
                     .with("request", attempt.getRequestId())
                     .with("attempt", id)
-                    .with("upstream", upstreamId)
+                    .with("upstream", work.upstreamId())
                     .with("reason", answer.getReason())
                     .with("verdict", Verdict.values()[answer.getVerdict()].label())
                     .with("status", answer.getStatus())
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/PendingAttempt.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/PendingAttempt.java
@@ -15,6 +15,7 @@
     private final List<Consumer<Answer>> listeners = new ArrayList<>();
     private HttpClient.Call call;
     private long startedMillis;
+    private String upstreamId = "";
     private boolean overdue;
     private boolean ended;
 
@@ -36,8 +37,14 @@
         return startedMillis;
     }
 
-    void started(long nowMillis, HttpClient.Call newCall) {
+    /** Returns the start of the upstream that the attempt was sent to. */
+    String upstreamId() {
+        return upstreamId;
+    }
+
+    void started(long nowMillis, String startedAt, HttpClient.Call newCall) {
         startedMillis = nowMillis;
+        upstreamId = startedAt;
         call = newCall;
     }
 
--- /dev/null
+++ b/engine/src/test/java/org/sardineshunt/engine/FormerStartTest.java
@@ -0,0 +1,40 @@
+package org.sardineshunt.engine;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.sardineshunt.coordination.announcement.Announcement;
+import org.sardineshunt.coordination.announcement.Announcement.Phase;
+import org.sardineshunt.engine.http.HttpField;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class FormerStartTest {
+    private static final int MISDIRECTED = 421;
+
+    private final EngineFleet fleet = new EngineFleet(1);
+
+    @AfterEach
+    void close() {
+        fleet.close();
+    }
+
+    /** Found on the bench: after a loss of power the refusal of a request for the former start shut out the new one. */
+    @Test
+    void aLateRefusalForTheFormerStartSaysNothingOfTheNewOne() {
+        FakeUpstream upstream = fleet.upstream(0);
+        upstream.behave(exchange -> {});
+        fleet.send(0, "POST", EngineFleet.BOOKING, 4_000);
+        Await.until("a request was sent to the former start", () -> fleet.arrivals() == 1);
+        fleet.node(0).announce(new Announcement("next-start", 2_000, 1, "service", 4, Phase.READY, 0), () -> {});
+        Await.until("the new start is known", () -> fleet.lines().stream()
+                .anyMatch(line -> line.contains("\"next-start\"")));
+        upstream.behave(upstream::succeed);
+
+        upstream.answer(upstream.arrived().get(0), MISDIRECTED, new HttpField("X-Not-Run", "1"));
+
+        Await.until("the refusal was taken", () -> fleet.lines().stream()
+                .anyMatch(line -> line.contains("attempt-failed")));
+        assertThat(fleet.status(0, "POST", EngineFleet.BOOKING), is(200));
+    }
+}
