Send no work to a node whose address another node has now

Ruled out: a missing announcement (the new node's row was there), capacity (the refusals came from the wrong service). Change: of nodes with the same address only the one that started last counts; a node whose address greets with another name is lost. A line 'node-known' says what is taken from a row.

--- a/engine/src/main/java/org/sardineshunt/engine/peer/Directory.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/Directory.java
@@ -1,10 +1,13 @@
 package org.sardineshunt.engine.peer;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.BinaryOperator;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -34,6 +37,7 @@
     private final Runnable onChanged;
     private final TableWatch watch;
     private final Map<String, KnownNode> nodes = new HashMap<>();
+    private List<KnownNode> present = List.of();
     private KnownNode desired;
     private boolean writing;
     private long ownVersion;
@@ -59,9 +63,9 @@
         return watch.isLoaded();
     }
 
-    /** Returns all known nodes. */
+    /** Returns the known nodes; of those that had the same address only the last one. */
     public Stream<KnownNode> nodes() {
-        return nodes.values().stream();
+        return present.stream();
     }
 
     /** Returns a node. */
@@ -77,6 +81,7 @@
     public void publish(KnownNode self, Runnable onStored) {
         desired = self;
         nodes.put(ownId, self);
+        findPresent();
         write(self, onStored);
     }
 
@@ -134,12 +139,36 @@
             if (row.removed()) {
                 nodes.remove(row.key());
             } else {
-                decode(row).ifPresent(node -> nodes.put(row.key(), node));
+                decode(row).ifPresent(node -> adopt(node, row.version()));
             }
         });
+        findPresent();
         onChanged.run();
     }
 
+    private void findPresent() {
+        present = List.copyOf(nodes.values().stream()
+                .collect(Collectors.toMap(
+                        node -> node.address().host() + ':' + node.address().port(),
+                        node -> node,
+                        BinaryOperator.maxBy(Comparator.comparingLong(KnownNode::incarnation))))
+                .values());
+    }
+
+    private void adopt(KnownNode node, long rowVersion) {
+        nodes.put(node.address().nodeId(), node);
+        log.event("node-known")
+                .with("peer", node.address().nodeId())
+                .with("rowVersion", rowVersion)
+                .with("startedAt", node.incarnation())
+                .with("stopping", node.stopping())
+                .with("upstream", node.upstream().map(Announcement::id).orElse(""))
+                .with(
+                        "phase",
+                        node.upstream().map(known -> known.phase().name()).orElse(""))
+                .write();
+    }
+
     private Optional<KnownNode> decode(Row row) {
         try {
             NodeRecord node = NodeRecord.parseFrom(row.value());
--- a/engine/src/main/java/org/sardineshunt/engine/peer/PeerLink.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/PeerLink.java
@@ -109,7 +109,7 @@
         lastReceivedMillis = timers.nowMillis();
         if (frame.hasHello()) {
             incarnation = frame.getHello().getIncarnation();
-            listener.answered(this);
+            listener.answered(this, frame.getHello().getNodeId());
         } else if (frame.hasAnswer()) {
             Call call = calls.remove(frame.getCorrelation());
             if (call != null) {
@@ -157,8 +157,8 @@
 
     /** Takes the events of a link on the control thread. */
     interface Listener {
-        /** The other node has answered over the link. */
-        void answered(PeerLink link);
+        /** A node has answered over the link; another one than was meant if it has the address now. */
+        void answered(PeerLink link, String nodeId);
 
         /** The link ended; told once. */
         void closed(PeerLink link, String cause);
--- a/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
@@ -179,9 +179,15 @@
     /** Keeps track of which nodes can be reached. */
     private final class LinkListener implements PeerLink.Listener {
         @Override
-        public void answered(PeerLink link) {
-            if (lost.remove(link.address()) != null) {
-                log.event("peer-regained").with("peer", link.address().nodeId()).write();
+        public void answered(PeerLink link, String nodeId) {
+            PeerAddress address = link.address();
+            if (!nodeId.equals(address.nodeId())) {
+                // Calls that are under way get their refusals; the node counts as lost as long as the link holds.
+                if (lost.put(address, Lost.since(control.nowMillis())) == null) {
+                    logLost(address, "its address answers as node '" + nodeId + "'");
+                }
+            } else if (lost.remove(address) != null) {
+                log.event("peer-regained").with("peer", address.nodeId()).write();
             }
         }
 
@@ -194,10 +200,7 @@
             long now = control.nowMillis();
             Lost before = lost.get(address);
             if (before == null) {
-                log.event("peer-lost")
-                        .with("peer", address.nodeId())
-                        .with("cause", cause)
-                        .write();
+                logLost(address, cause);
             }
             Lost state = before == null ? Lost.since(now) : before.probedAgain();
             lost.put(address, state);
@@ -205,6 +208,13 @@
                 control.after(state.delayMillis(), () -> probe(address));
             }
         }
+
+        private void logLost(PeerAddress address, String cause) {
+            log.event("peer-lost")
+                    .with("peer", address.nodeId())
+                    .with("cause", cause)
+                    .write();
+        }
     }
 
     /** Takes what other nodes send, on the control thread. */
