--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -1,27 +1,20 @@
 package org.sardineshunt.engine;
 
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
-import io.vavr.control.Either;
-import org.sardineshunt.coordination.Reason;
 import org.sardineshunt.coordination.Rendezvous;
-import org.sardineshunt.coordination.Verdict;
 import org.sardineshunt.coordination.announcement.Announcement;
 import org.sardineshunt.coordination.once.CrashGuard;
-import org.sardineshunt.coordination.placement.LoadAudience;
-import org.sardineshunt.coordination.placement.LoadSteps;
 import org.sardineshunt.coordination.placement.PlacementPolicy;
 import org.sardineshunt.coordination.rotation.Rotation;
 import org.sardineshunt.coordination.route.FleetConfiguration;
@@ -34,14 +27,12 @@
 import org.sardineshunt.engine.peer.Directory;
 import org.sardineshunt.engine.peer.KnownNode;
 import org.sardineshunt.engine.peer.PeerAddress;
-import org.sardineshunt.engine.peer.PeerFailure;
 import org.sardineshunt.engine.peer.PeerNetwork;
 import org.sardineshunt.engine.platform.TableStore;
 import org.sardineshunt.engine.protocol.EngineMessages.Answer;
 import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
 import org.sardineshunt.engine.protocol.EngineMessages.CrashReport;
 import org.sardineshunt.engine.protocol.EngineMessages.Frame;
-import org.sardineshunt.engine.protocol.EngineMessages.HomeLoad;
 import org.sardineshunt.engine.protocol.EngineMessages.Inquiry;
 
 /**
@@ -61,12 +52,6 @@
     private static final double TRIAL_SHARE = 0.35;
     private static final int CRASH_VICTIMS = 2;
     private static final long CRASH_MEMORY_MILLIS = 120_000;
-    private static final long LOAD_PERIOD_MILLIS = 30;
-    private static final int NEAR_MATTERS_FREE = 2;
-    private static final double NEAR_FIRST_STEP_MILLIS = 50;
-    private static final double FAR_FIRST_STEP_MILLIS = 100;
-    private static final long FAR_PERIOD_MILLIS = 250;
-    private static final long LOAD_REPEAT_MILLIS = 2_500;
     private static final long STORED_LIMIT_MILLIS = 600;
     private static final long STOP_POLL_MILLIS = 100;
     private static final long STOP_QUIET_MILLIS = 300;
@@ -87,10 +72,6 @@
     private final PeerNetwork network;
     private final HttpServer callerServer;
     private final CrashGuard crashes = new CrashGuard(CRASH_VICTIMS, CRASH_MEMORY_MILLIS);
-    private final LoadAudience farAudience = new LoadAudience();
-    private final LoadSteps nearSteps =
-            new LoadSteps(NEAR_MATTERS_FREE, NEAR_FIRST_STEP_MILLIS, LOAD_PERIOD_MILLIS, LOAD_REPEAT_MILLIS);
-    private final LoadSteps farSteps = new LoadSteps(1, FAR_FIRST_STEP_MILLIS, FAR_PERIOD_MILLIS, LOAD_REPEAT_MILLIS);
     private volatile FleetConfiguration configuration;
     private volatile boolean ready;
     private volatile boolean stopping;
@@ -98,8 +79,9 @@
     private HomeTable homeTable;
     private HomeService home;
     private EntryService entry;
+    private PeerHomes peers;
+    private LoadTeller loadTeller;
     private PeerAddress ownAddress;
-    private boolean loadScheduled;
 
     /** Creates an engine that doesn't listen yet. */
     public Engine(EngineSettings settings, EventLog log, Counters counters) {
@@ -136,8 +118,9 @@
         home = new HomeService(context, upstreamClient, homeTable::baseline, new HomeListener());
         PlacementPolicy placement = new PlacementPolicy(
                 Rotation.builder().floorShare(settings.limits().floorShare()).build(), TRIAL_SHARE);
-        entry = new EntryService(
-                context, new ReachableHomes(), homeTable, placement, () -> Optional.ofNullable(configuration));
+        peers = new PeerHomes(control, settings.nodeId(), directory, network, home);
+        loadTeller = new LoadTeller(control, settings.nodeId(), directory, homeTable, peers, home);
+        entry = new EntryService(context, peers, homeTable, placement, () -> Optional.ofNullable(configuration));
         int peerPort = network.listen(settings.peerAddress(), new PeerHandlers());
         ownAddress = new PeerAddress(settings.nodeId(), settings.peerAddress().getHostString(), peerPort);
         int callerPort = callerServer.listen(trafficGroup, settings.callerAddress());
@@ -296,54 +279,15 @@
         }
     }
 
-    private void shareLoad() {
-        loadScheduled = false;
-        HomeLoad load = home.load();
-        homeTable.report(settings.nodeId(), load);
-        long now = control.nowMillis();
-        int free = Math.max(0, load.getSlots() - load.getInFlight());
-        double waitMillis = load.getWaitMillis(load.getWaitMillisCount() - 1);
-        if (nearSteps.mustTell(now, free, waitMillis)) {
-            tellLoad(load, homeTable.near());
-        }
-        if (farSteps.mustTell(now, free, waitMillis)) {
-            tellLoad(load, farNodes(now));
-        }
-        if (farSteps.isHeldBack(free, waitMillis)) {
-            scheduleLoad(LOAD_PERIOD_MILLIS);
-        }
-    }
-
-    private void scheduleLoad(long millis) {
-        if (!loadScheduled) {
-            loadScheduled = true;
-            control.after(millis, this::shareLoad);
-        }
-    }
-
-    private Stream<KnownNode> farNodes(long now) {
-        return farAudience.nodes(now).stream().map(directory::node).flatMap(Optional::stream);
-    }
-
-    private void tellLoad(HomeLoad load, Stream<KnownNode> nodes) {
-        homeTable.report(settings.nodeId(), load);
-        network.tell(
-                nodes.filter(node -> !node.stopping())
-                        .map(KnownNode::address)
-                        .filter(address -> !address.nodeId().equals(settings.nodeId()))
-                        .toList(),
-                Frame.newBuilder().setLoad(load).build());
-    }
-
     private final class HomeListener implements HomeService.Listener {
         @Override
         public void loadChanged() {
-            scheduleLoad(LOAD_PERIOD_MILLIS);
+            loadTeller.loadChanged();
         }
 
         @Override
         public void healthChanged() {
-            tellLoad(home.load(), directory.nodes());
+            loadTeller.tellAll();
         }
 
         @Override
@@ -352,37 +296,14 @@
                     .setFingerprint(fingerprint)
                     .setUpstreamId(upstreamId)
                     .build();
-            network.tell(
-                    directory
-                            .nodes()
-                            .map(KnownNode::address)
-                            .filter(address -> !address.nodeId().equals(settings.nodeId()))
-                            .toList(),
-                    Frame.newBuilder().setCrash(report).build());
+            peers.tell(directory.nodes(), Frame.newBuilder().setCrash(report).build());
         }
     }
 
-    private Optional<PeerAddress> address(String nodeId) {
-        return directory.node(nodeId).map(KnownNode::address);
-    }
-
-    private Either<PeerFailure, Answer> unknown(String nodeId) {
-        return Either.left(new PeerFailure(false, 0, "node '" + nodeId + "' is not known any more"));
-    }
-
-    private void passOn(String nodeId, Inquiry inquiry, Consumer<Either<PeerFailure, Answer>> onResult) {
-        Inquiry direct = inquiry.toBuilder().clearHomeNodeId().build();
-        address(nodeId)
-                .ifPresentOrElse(
-                        address -> network.inquire(address, direct, onResult), () -> onResult.accept(unknown(nodeId)));
-    }
-
     private final class PeerHandlers implements PeerNetwork.Handlers {
         @Override
         public Runnable attempt(String nodeId, Attempt attempt, Consumer<Answer> onAnswer) {
-            if (directory.node(nodeId).filter(node -> !homeTable.isNear(node)).isPresent()) {
-                farAudience.heard(control.nowMillis(), nodeId);
-            }
+            loadTeller.heard(nodeId);
             return home.attempt(attempt, onAnswer);
         }
 
@@ -393,14 +314,7 @@
                 home.inquire(inquiry, onAnswer);
                 return;
             }
-            passOn(
-                    homeId,
-                    inquiry,
-                    result -> onAnswer.accept(result.getOrElseGet(failure -> Answer.newBuilder()
-                            .setVerdict(Verdict.MAY_HAVE_RUN.ordinal())
-                            .setReason(Reason.LINK_LOST.label())
-                            .setOffered(true)
-                            .build())));
+            peers.passOn(homeId, inquiry, onAnswer);
         }
 
         @Override
@@ -415,52 +329,6 @@
         }
     }
 
-    private final class ReachableHomes implements EntryService.Homes {
-        @Override
-        public OptionalInt rankOfRunning(String requestId) {
-            return home.rankOfRunning(requestId);
-        }
-
-        @Override
-        public Runnable attempt(String nodeId, Attempt attempt, Consumer<Either<PeerFailure, Answer>> onResult) {
-            if (nodeId.equals(settings.nodeId())) {
-                return home.attempt(attempt, answer -> control.execute(() -> onResult.accept(Either.right(answer))));
-            }
-            return address(nodeId)
-                    .map(address -> network.attempt(address, attempt, onResult))
-                    .orElseGet(() -> {
-                        control.execute(() -> onResult.accept(unknown(nodeId)));
-                        return () -> {};
-                    });
-        }
-
-        @Override
-        public void inquire(String nodeId, Inquiry inquiry, Consumer<Either<PeerFailure, Answer>> onResult) {
-            passOn(nodeId, inquiry, result -> {
-                Optional<PeerAddress> between = result.isLeft() ? neighbour(nodeId) : Optional.empty();
-                if (between.isEmpty()) {
-                    onResult.accept(result);
-                    return;
-                }
-                Inquiry relayed = inquiry.toBuilder().setHomeNodeId(nodeId).build();
-                network.inquire(between.get(), relayed, onResult);
-            });
-        }
-
-        // A cut seldom parts a home from all nodes: one beside it may still reach it, and be reached.
-        private Optional<PeerAddress> neighbour(String nodeId) {
-            Optional<String> place = directory.node(nodeId).map(KnownNode::dataCentre);
-            return directory
-                    .nodes()
-                    .filter(node -> place.filter(node.dataCentre()::equals).isPresent())
-                    .map(KnownNode::address)
-                    .filter(address -> !address.nodeId().equals(nodeId))
-                    .filter(address -> !address.nodeId().equals(settings.nodeId()))
-                    .filter(network::isReachable)
-                    .findAny();
-        }
-    }
-
     /** Runs an action at most once. Not thread-safe. */
     private static final class OnlyOnce implements Runnable {
         private Runnable action;
--- /dev/null
+++ b/engine/src/main/java/org/sardineshunt/engine/PeerHomes.java
@@ -0,0 +1,118 @@
+package org.sardineshunt.engine;
+
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+
+import io.vavr.control.Either;
+import org.sardineshunt.coordination.Reason;
+import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.engine.backendserver.HomeService;
+import org.sardineshunt.engine.caller.EntryService;
+import org.sardineshunt.engine.peer.Directory;
+import org.sardineshunt.engine.peer.KnownNode;
+import org.sardineshunt.engine.peer.PeerAddress;
+import org.sardineshunt.engine.peer.PeerFailure;
+import org.sardineshunt.engine.peer.PeerNetwork;
+import org.sardineshunt.engine.protocol.EngineMessages.Answer;
+import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
+import org.sardineshunt.engine.protocol.EngineMessages.Frame;
+import org.sardineshunt.engine.protocol.EngineMessages.Inquiry;
+
+/** Reaches homes by the names of their nodes: the own one directly, others over links. Belongs to the control thread. */
+final class PeerHomes implements EntryService.Homes {
+    private final ControlLoop control;
+    private final String ownId;
+    private final Directory directory;
+    private final PeerNetwork network;
+    private final HomeService home;
+
+    PeerHomes(ControlLoop control, String ownId, Directory directory, PeerNetwork network, HomeService home) {
+        this.control = control;
+        this.ownId = ownId;
+        this.directory = directory;
+        this.network = network;
+        this.home = home;
+    }
+
+    @Override
+    public OptionalInt rankOfRunning(String requestId) {
+        return home.rankOfRunning(requestId);
+    }
+
+    @Override
+    public Runnable attempt(String nodeId, Attempt attempt, Consumer<Either<PeerFailure, Answer>> onResult) {
+        if (nodeId.equals(ownId)) {
+            return home.attempt(attempt, answer -> control.execute(() -> onResult.accept(Either.right(answer))));
+        }
+        return address(nodeId)
+                .map(address -> network.attempt(address, attempt, onResult))
+                .orElseGet(() -> {
+                    control.execute(() -> onResult.accept(unknown(nodeId)));
+                    return () -> {};
+                });
+    }
+
+    @Override
+    public void inquire(String nodeId, Inquiry inquiry, Consumer<Either<PeerFailure, Answer>> onResult) {
+        inquireDirectly(nodeId, inquiry, result -> {
+            Optional<PeerAddress> between = result.isLeft() ? neighbour(nodeId) : Optional.empty();
+            if (between.isEmpty()) {
+                onResult.accept(result);
+                return;
+            }
+            Inquiry relayed = inquiry.toBuilder().setHomeNodeId(nodeId).build();
+            network.inquire(between.get(), relayed, onResult);
+        });
+    }
+
+    /** Asks another home for a node that can't reach it. */
+    void passOn(String nodeId, Inquiry inquiry, Consumer<Answer> onAnswer) {
+        Inquiry direct = inquiry.toBuilder().clearHomeNodeId().build();
+        inquireDirectly(
+                nodeId,
+                direct,
+                result -> onAnswer.accept(result.getOrElseGet(failure -> Answer.newBuilder()
+                        .setVerdict(Verdict.MAY_HAVE_RUN.ordinal())
+                        .setReason(Reason.LINK_LOST.label())
+                        .setOffered(true)
+                        .build())));
+    }
+
+    /** Sends a frame without a reply to those of the nodes that can be reached. */
+    void tell(Stream<KnownNode> nodes, Frame frame) {
+        network.tell(
+                nodes.map(KnownNode::address)
+                        .filter(address -> !address.nodeId().equals(ownId))
+                        .toList(),
+                frame);
+    }
+
+    private void inquireDirectly(String nodeId, Inquiry inquiry, Consumer<Either<PeerFailure, Answer>> onResult) {
+        address(nodeId)
+                .ifPresentOrElse(
+                        address -> network.inquire(address, inquiry, onResult), () -> onResult.accept(unknown(nodeId)));
+    }
+
+    // A cut seldom parts a home from all nodes: one beside it may still reach it, and be reached.
+    private Optional<PeerAddress> neighbour(String nodeId) {
+        Optional<String> place = directory.node(nodeId).map(KnownNode::dataCentre);
+        return directory
+                .nodes()
+                .filter(node -> place.filter(node.dataCentre()::equals).isPresent())
+                .map(KnownNode::address)
+                .filter(address -> !address.nodeId().equals(nodeId))
+                .filter(address -> !address.nodeId().equals(ownId))
+                .filter(network::isReachable)
+                .findAny();
+    }
+
+    private Optional<PeerAddress> address(String nodeId) {
+        return directory.node(nodeId).map(KnownNode::address);
+    }
+
+    private static Either<PeerFailure, Answer> unknown(String nodeId) {
+        return Either.left(new PeerFailure(false, 0, "node '" + nodeId + "' is not known any more"));
+    }
+}
--- a/engine/src/test/java/org/sardineshunt/engine/backendserver/UpstreamGateTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/backendserver/UpstreamGateTest.java
@@ -12,6 +12,10 @@
 import static org.hamcrest.Matchers.is;
 
 class UpstreamGateTest {
+    private static final long TARGET_MILLIS = 400;
+    private static final long CALL_LEFT_MILLIS = 1_100;
+    private static final long NEW_LEFT_MILLIS = 60_000;
+
     private final HomeGate<PendingAttempt> gate = UpstreamGate.create();
 
     /** Payments at a service that reservations call: a reservation's call must not keep a payment waiting. */
@@ -32,11 +36,9 @@
 
     /** Found on the bench: calls with a second left were refused when their target of 400 ms was near. */
     @Test
-    void aCallOfARunningRequestIsNotGivenUpBecauseItIsLate() {
-        gate.offer(0, work("running", 0, false));
-        IntStream.range(0, 4).forEach(index -> gate.offer(0, work("call-" + index, 1, true)));
-
-        assertThat(gate.removeIfHopeless(301, "call-3").isEmpty(), is(true));
+    void aCallOfARunningRequestIsDueOnlyAtItsDeadline() {
+        assertThat(work("call", 1, true).dueMillis(), is(CALL_LEFT_MILLIS));
+        assertThat(work("new", 1, false).dueMillis(), is(TARGET_MILLIS));
     }
 
     private static Work<PendingAttempt> work(String id, int rank, boolean call) {
@@ -44,8 +46,8 @@
                 .setAttemptId(id)
                 .setRank(rank)
                 .setFromRunningRequest(call)
-                .setTargetMillis(400)
-                .setLeftMillis(call ? 1_100 : 60_000)
+                .setTargetMillis((int) TARGET_MILLIS)
+                .setLeftMillis((int) (call ? CALL_LEFT_MILLIS : NEW_LEFT_MILLIS))
                 .build();
         return UpstreamGate.work(new PendingAttempt(attempt, 0, answer -> {}), 100);
     }
