Log why a failed request isn't repeated

Cause: whether the retry budget or the route's attempts ended a request couldn't be told from the logs or counters. Change: a line 'not-repeated' with the objection, and a counter by objection. Decisions are as before.

--- a/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
@@ -284,7 +284,8 @@
         if (verdict != Verdict.NOT_RUN) {
             flow.verdictSoFar = Verdict.MAY_HAVE_RUN;
         }
-        if (mayGoOn(flow, verdict, offered)) {
+        Optional<String> objection = offered ? objectionToRepeat(flow, verdict) : Optional.empty();
+        if (objection.isEmpty()) {
             counters.count("retries", reason.label());
             log.event("attempt-again")
                     .with("request", flow.requestId)
@@ -295,20 +296,34 @@
                     .write();
             dispatch(flow);
         } else {
+            counters.count("retries_refused", objection.get());
+            log.event("not-repeated")
+                    .with("request", flow.requestId)
+                    .with("home", flow.lastHome)
+                    .with("reason", reason.label())
+                    .with("verdict", verdict.label())
+                    .with("objection", objection.get())
+                    .with("offered", flow.offered)
+                    .write();
             giveUp(flow);
         }
     }
 
-    private boolean mayGoOn(Flow flow, Verdict verdict, boolean offered) {
-        if (!offered) {
-            return true;
+    private Optional<String> objectionToRepeat(Flow flow, Verdict verdict) {
+        long now = control.nowMillis();
+        if (verdict != Verdict.NOT_RUN && !flow.route.idempotent()) {
+            return Optional.of("not-idempotent");
+        }
+        if (flow.offered >= flow.route.attempts()) {
+            return Optional.of("attempts-used");
+        }
+        if (flow.deadlineMillis - now <= SHORTEST_LEFT_MILLIS) {
+            return Optional.of("no-time-left");
+        }
+        if (crashes.suspects(now, String.valueOf(flow.fingerprint))) {
+            return Optional.of("suspect");
         }
-        boolean harmless = verdict == Verdict.NOT_RUN || flow.route.idempotent();
-        return harmless
-                && flow.offered < flow.route.attempts()
-                && flow.deadlineMillis - control.nowMillis() > SHORTEST_LEFT_MILLIS
-                && !crashes.suspects(control.nowMillis(), String.valueOf(flow.fingerprint))
-                && budget(flow).tryRetry();
+        return budget(flow).tryRetry() ? Optional.empty() : Optional.of("retry-budget");
     }
 
     private void giveUp(Flow flow) {
