Let calls of running requests be due at their target again

Cause for the try: calls with a second left were refused after 300 ms. In an overload of the called service they keep their callers' slots for a second. Conclusion: taken back.

--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamGate.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamGate.java
@@ -47,16 +47,15 @@
     }
 
     /**
-     * Returns an attempt as work for the gate. A call that a running request makes is due only at its deadline: to refuse it
-     * because it is late would waste the request that made it.
+     * Returns an attempt as work for the gate.
      *
      * @param serviceMillis how long it will hold its slot; 0 while unknown
      */
     static Work<PendingAttempt> work(PendingAttempt pending, double serviceMillis) {
         Attempt attempt = pending.attempt();
         long deadline = pending.arrivedMillis() + attempt.getLeftMillis();
-        boolean hasTarget = attempt.getTargetMillis() > 0 && !attempt.getFromRunningRequest();
-        long due = hasTarget ? Math.min(deadline, pending.arrivedMillis() + attempt.getTargetMillis()) : deadline;
+        long target = attempt.getTargetMillis();
+        long due = target == 0 ? deadline : Math.min(deadline, pending.arrivedMillis() + target);
         return new Work<>(
                 attempt.getAttemptId(),
                 name(attempt.getRank(), attempt.getFromRunningRequest()),
