Make the test of lost homes tell a risked request for certain

Cause: with lost homes not left out the test passed all the same: the placement seldom chose the lost home while others were idle (seen in a scratch copy without the mechanism; 0 of 12 lookups went there). Change: the slots of the other homes are taken first, so that the lost one looks best. Without the mechanism it fails now (the bookings before it already go astray), with it it passes.

--- a/engine/src/test/java/org/sardineshunt/engine/EngineTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineTest.java
@@ -259,9 +259,22 @@
         fleet.node(1).kill();
         awaitLostPeer("node-0", "node-1");
 
-        IntStream.range(0, 12).forEach(request -> fleet.status(0, "GET", EngineFleet.LOOKUP));
+        // All slots of the others are taken, so the lost home would look best.
+        everyUpstream(index -> exchange -> {});
+        IntStream.range(0, 8).forEach(request -> fleet.send(0, "POST", EngineFleet.BOOKING, 4_000));
+        Await.until("the others are full", () -> fleet.arrivals() == 8);
+        List<EngineFleet.Sent> lookups = IntStream.range(0, 4)
+                .mapToObj(request -> fleet.send(0, "GET", EngineFleet.LOOKUP, 4_000))
+                .toList();
 
-        assertThat(fleet.lines().stream().anyMatch(line -> line.contains("home-unreachable")), is(false));
+        Await.until("all lookups were placed", () -> lookups.stream()
+                .allMatch(lookup -> events(lookup.id()).contains("attempt-sent")));
+        assertThat(
+                lookups.stream()
+                        .flatMap(lookup -> events(lookup.id()).stream())
+                        .filter("home-unreachable"::equals)
+                        .toList(),
+                is(List.of()));
     }
 
     @Test
