Serve pipelined idempotent requests concurrently and answer in order

Cause: requests sent ahead on one connection ran one after another, so each waited for the one before, and the time spent waiting was not taken from the caller's time left; the error of a malformed or too large request was written in front of the answers still due, as the wrong answer for an earlier request; the 17th request ahead closed the connection together with a request that an upstream was running.

Change: ServerConnection keeps all requests without a response in order. Idempotent requests overlap, up to 16; any other runs alone. Errors are answered in their place. Beyond 64 requests or 1 MiB the connection is not read until there is room. Time left counts from the arrival. At a close what has started is answered, the rest counts as not read. After the last response the output is shut down and input is discarded for half a second, because a close with unread bytes resets the connection and may take the response with it. A connection counts as busy until its response was written, so that a stop doesn't cut one that a slow reader still takes.

Ruled out: Netty's FlowControlHandler (the read limit is at most one read buffer late without it).

--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -19,10 +19,12 @@
 import org.sardineshunt.coordination.rotation.Rotation;
 import org.sardineshunt.coordination.route.FleetConfiguration;
 import org.sardineshunt.coordination.route.FleetConfiguration.CallerLimits;
+import org.sardineshunt.coordination.route.Route;
 import org.sardineshunt.engine.backendserver.HomeService;
 import org.sardineshunt.engine.caller.EntryService;
 import org.sardineshunt.engine.caller.HomeRegistry;
 import org.sardineshunt.engine.http.HttpClient;
+import org.sardineshunt.engine.http.HttpRequestData;
 import org.sardineshunt.engine.http.HttpServer;
 import org.sardineshunt.engine.peer.KnownNode;
 import org.sardineshunt.engine.peer.NodeDirectory;
@@ -115,7 +117,7 @@
         upstreamClient = new HttpClient(
                 (EventLoop) trafficGroup.next(), settings.headers().requestId());
         network = new PeerNetwork(control, log, trafficGroup, settings.nodeId(), incarnation);
-        callerServer = new HttpServer(this::callerLimits, exchange -> entry.handle(exchange));
+        callerServer = new HttpServer(this::callerLimits, this::isIdempotent, exchange -> entry.handle(exchange));
     }
 
     /** Returns the event loop whose thread owns the engine's state. */
@@ -264,6 +266,14 @@
         stopped.complete(null);
     }
 
+    private boolean isIdempotent(HttpRequestData request) {
+        FleetConfiguration current = configuration;
+        return current != null
+                && current.match(request.header("host").orElse(""), request.path())
+                        .map(Route::idempotent)
+                        .orElse(false);
+    }
+
     private CallerLimits callerLimits() {
         FleetConfiguration current = configuration;
         return current == null ? CallerLimits.DEFAULT : current.limits();
--- a/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
@@ -150,10 +150,10 @@
                 .orElse(OptionalInt.empty());
         pending.fromRunningRequest = rankOfCaller.isPresent();
         pending.rank = rankOfCaller.orElse(route.get().rank());
-        pending.deadlineMillis = now + timeLeftMillis(request, route.get());
+        pending.deadlineMillis = now - exchange.millisSinceReceived() + timeLeftMillis(request, route.get());
         pendingRequests.add(pending);
         retryBudget(pending).recordFirstAttempt();
-        pending.deadlineTimer = control.after(pending.deadlineMillis - now, () -> timeOut(pending));
+        pending.deadlineTimer = control.after(Math.max(0, pending.deadlineMillis - now), () -> timeOut(pending));
         exchange.onDisconnect(() -> control.execute(() -> handleDisconnect(pending)));
         dispatch(pending);
     }
--- a/engine/src/main/java/org/sardineshunt/engine/http/HttpExchange.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/HttpExchange.java
@@ -5,6 +5,9 @@
     /** Returns the request. */
     HttpRequestData request();
 
+    /** Returns the milliseconds since the request was received completely. */
+    long millisSinceReceived();
+
     /** Sends the response; ignored after the first response or a disconnect. */
     void respond(HttpResponseData response);
 
--- a/engine/src/main/java/org/sardineshunt/engine/http/ServerConnection.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/ServerConnection.java
@@ -6,13 +6,14 @@
 import java.util.List;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -28,22 +29,38 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import org.sardineshunt.coordination.route.FleetConfiguration.CallerLimits;
 
-/** An accepted connection. All state is confined to its event loop; other threads only read the volatile fields. */
+/**
+ * An accepted connection. Pipelined requests are served concurrently if the server allows them to overlap, and answered
+ * in the order in which they arrived. All state is confined to the connection's event loop; other threads only read the
+ * volatile fields.
+ */
 final class ServerConnection extends SimpleChannelInboundHandler<HttpObject> {
-    private static final int MAXIMUM_PIPELINED_REQUESTS = 16;
+    private static final int MAXIMUM_CONCURRENT_REQUESTS = 16;
+
+    // Reading stops while this many requests, or bytes of requests, have no response. While it is stopped, a disconnect
+    // goes unnoticed, so the limit is higher than that of the requests that are served concurrently.
+    private static final int MAXIMUM_UNANSWERED_REQUESTS = 64;
+    private static final long MAXIMUM_UNANSWERED_BYTES = 1 << 20;
+
     private static final long IDLE_TIMEOUT_MARGIN_MILLIS = 1_000;
 
+    // Unread bytes at a close would reset the connection, and the caller might lose the last response. So what still
+    // arrives is discarded for this time.
+    private static final long LINGER_MILLIS = 500;
+
     private final HttpServer server;
     private final Channel channel;
     private final CallerLimits limits;
     private final Consumer<HttpExchange> handler;
-    private final Deque<ReceivedRequest> pipelinedRequests = new ArrayDeque<>();
+    private final Deque<Exchange> unanswered = new ArrayDeque<>();
+    private final AtomicInteger unwrittenResponses = new AtomicInteger();
     private HttpRequest head;
     private ByteArrayOutputStream body;
-    private Exchange currentExchange;
     private ScheduledFuture<?> idleTimer;
-    private boolean rejected;
-    private volatile boolean busy;
+    private long unansweredBytes;
+    private boolean continueExpected;
+    private boolean inputEnded;
+    private volatile boolean serving;
     private volatile long lastActivityNanos = System.nanoTime();
 
     ServerConnection(HttpServer server, Channel channel, CallerLimits limits, Consumer<HttpExchange> handler) {
@@ -53,14 +70,15 @@
         this.handler = handler;
     }
 
+    /** Returns whether a request has no response yet or a response has not been handed to the operating system yet. */
     boolean isBusy() {
-        return busy;
+        return serving || unwrittenResponses.get() > 0;
     }
 
     void closeIfIdle(long idleMillis) {
         channel.eventLoop().execute(() -> {
             boolean idle = System.nanoTime() - lastActivityNanos >= idleMillis * 1_000_000;
-            if (!busy && head == null && idle) {
+            if (!isBusy() && head == null && idle) {
                 channel.close();
             }
         });
@@ -78,7 +96,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
         lastActivityNanos = System.nanoTime();
-        if (rejected) {
+        if (inputEnded) {
             return;
         }
         if (message.decoderResult().isFailure()) {
@@ -96,10 +114,10 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         stopIdleTimer();
-        pipelinedRequests.clear();
-        if (currentExchange != null) {
-            currentExchange.disconnected();
-        }
+        inputEnded = true;
+        List<Exchange> disconnected = List.copyOf(unanswered);
+        discardUnanswered();
+        disconnected.forEach(Exchange::disconnect);
     }
 
     @Override
@@ -115,7 +133,14 @@
         }
         head = request;
         body = new ByteArrayOutputStream();
-        if (HttpUtil.is100ContinueExpected(request)) {
+        continueExpected = HttpUtil.is100ContinueExpected(request);
+        writeExpectedContinue();
+    }
+
+    // The interim response must not precede the responses to earlier requests.
+    private void writeExpectedContinue() {
+        if (continueExpected && unanswered.isEmpty()) {
+            continueExpected = false;
             channel.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
@@ -130,43 +155,106 @@
         }
         body.writeBytes(bytes);
         if (content instanceof LastHttpContent) {
-            ReceivedRequest request = completeRequest();
-            head = null;
-            body = null;
-            serveOrQueue(request);
+            completeRequest();
         }
     }
 
-    private ReceivedRequest completeRequest() {
+    private void completeRequest() {
         List<HttpHeader> headers = head.headers().entries().stream()
                 .map(entry -> new HttpHeader(entry.getKey(), entry.getValue()))
                 .toList();
-        return new ReceivedRequest(
-                new HttpRequestData(head.method().name(), head.uri(), headers, body.toByteArray()),
-                HttpUtil.isKeepAlive(head));
+        boolean keepAlive = HttpUtil.isKeepAlive(head);
+        HttpRequestData request = new HttpRequestData(head.method().name(), head.uri(), headers, body.toByteArray());
+        head = null;
+        body = null;
+        continueExpected = false;
+        inputEnded = !keepAlive;
+        addUnanswered(new Exchange(request, keepAlive));
+        startRequests();
+        updateReading();
     }
 
-    private void serveOrQueue(ReceivedRequest request) {
-        if (currentExchange == null) {
-            serve(request);
-        } else if (pipelinedRequests.size() < MAXIMUM_PIPELINED_REQUESTS) {
-            pipelinedRequests.add(request);
-        } else {
-            channel.close();
+    private void reject(HttpResponseStatus status) {
+        inputEnded = true;
+        head = null;
+        body = null;
+        Exchange rejected = new Exchange(new HttpRequestData("", "", List.of(), new byte[0]), false);
+        rejected.started = true;
+        rejected.response = new HttpResponseData(status.code(), List.of(), new byte[0]);
+        addUnanswered(rejected);
+        writeResponses();
+    }
+
+    private void addUnanswered(Exchange exchange) {
+        unanswered.add(exchange);
+        unansweredBytes += exchange.request.body().length;
+        serving = true;
+    }
+
+    private void discardUnanswered() {
+        unanswered.clear();
+        unansweredBytes = 0;
+        serving = false;
+    }
+
+    // The first request without a response starts in any case. Others start behind it if all of them may overlap.
+    private void startRequests() {
+        int running = 0;
+        boolean mayOverlap = true;
+        for (Exchange exchange : List.copyOf(unanswered)) {
+            mayOverlap &= unanswered.size() == 1 || exchange.mayOverlap();
+            if (!exchange.started) {
+                boolean roomBehind =
+                        mayOverlap && running < MAXIMUM_CONCURRENT_REQUESTS && !server.isClosingAfterResponses();
+                if (running > 0 && !roomBehind) {
+                    return;
+                }
+                exchange.started = true;
+                handler.accept(exchange);
+            }
+            running++;
         }
     }
 
-    private void serve(ReceivedRequest request) {
-        currentExchange = new Exchange(request);
-        busy = true;
-        handler.accept(currentExchange);
+    private void updateReading() {
+        boolean room = unanswered.size() < MAXIMUM_UNANSWERED_REQUESTS && unansweredBytes < MAXIMUM_UNANSWERED_BYTES;
+        channel.config().setAutoRead(room);
     }
 
-    private void writeResponse(Exchange exchange, HttpResponseData responseData) {
-        if (exchange != currentExchange || !channel.isActive()) {
-            return;
+    private void setResponse(Exchange exchange, HttpResponseData response) {
+        if (exchange.response == null && unanswered.contains(exchange)) {
+            exchange.response = response;
+            writeResponses();
+        }
+    }
+
+    private void writeResponses() {
+        while (!unanswered.isEmpty() && unanswered.peek().response != null) {
+            Exchange exchange = unanswered.poll();
+            unansweredBytes -= exchange.request.body().length;
+            boolean close = !exchange.keepAlive || server.isClosingAfterResponses() && noneStarted();
+            write(exchange.response, close);
+            if (close) {
+                inputEnded = true;
+                discardUnanswered();
+                return;
+            }
         }
-        boolean close = !exchange.request.keepAlive() || server.isClosingAfterResponses();
+        startRequests();
+        updateReading();
+        writeExpectedContinue();
+        if (unanswered.isEmpty()) {
+            serving = false;
+            startIdleTimer();
+        }
+    }
+
+    // Requests that have started must be answered, others count as not read when the connection closes.
+    private boolean noneStarted() {
+        return unanswered.stream().noneMatch(exchange -> exchange.started);
+    }
+
+    private void write(HttpResponseData responseData, boolean close) {
         FullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(responseData.status()),
@@ -178,25 +266,24 @@
         if (close) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        currentExchange = null;
-        busy = false;
         lastActivityNanos = System.nanoTime();
-        channel.writeAndFlush(response).addListener(close ? ChannelFutureListener.CLOSE : written -> {});
-        ReceivedRequest next = pipelinedRequests.poll();
-        if (next != null && !close) {
-            serve(next);
-        } else if (!close) {
-            startIdleTimer();
-        }
+        unwrittenResponses.incrementAndGet();
+        channel.writeAndFlush(response).addListener(written -> {
+            unwrittenResponses.decrementAndGet();
+            if (close) {
+                closeAfterLinger();
+            }
+        });
     }
 
-    private void reject(HttpResponseStatus status) {
-        rejected = true;
-        head = null;
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
-        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    private void closeAfterLinger() {
+        if (!(channel instanceof DuplexChannel duplex) || !channel.isActive()) {
+            channel.close();
+            return;
+        }
+        duplex.shutdownOutput();
+        channel.config().setAutoRead(true);
+        channel.eventLoop().schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void startIdleTimer() {
@@ -222,26 +309,35 @@
         return HttpResponseStatus.BAD_REQUEST;
     }
 
-    private record ReceivedRequest(HttpRequestData data, boolean keepAlive) {}
-
-    /** A request of this connection that has no response yet. */
+    /** A request of this connection whose response has not been written yet. */
     private final class Exchange implements HttpExchange {
-        private final ReceivedRequest request;
+        private final HttpRequestData request;
+        private final boolean keepAlive;
+        private final long receivedNanos = System.nanoTime();
+        private Boolean overlapAllowed;
+        private boolean started;
+        private HttpResponseData response;
         private Runnable disconnectAction = () -> {};
         private boolean disconnected;
 
-        private Exchange(ReceivedRequest request) {
+        private Exchange(HttpRequestData request, boolean keepAlive) {
             this.request = request;
+            this.keepAlive = keepAlive;
         }
 
         @Override
         public HttpRequestData request() {
-            return request.data();
+            return request;
+        }
+
+        @Override
+        public long millisSinceReceived() {
+            return (System.nanoTime() - receivedNanos) / 1_000_000;
         }
 
         @Override
         public void respond(HttpResponseData responseData) {
-            channel.eventLoop().execute(() -> writeResponse(this, responseData));
+            channel.eventLoop().execute(() -> setResponse(this, responseData));
         }
 
         @Override
@@ -254,10 +350,15 @@
             });
         }
 
-        private void disconnected() {
+        private boolean mayOverlap() {
+            if (overlapAllowed == null) {
+                overlapAllowed = server.mayOverlap(request);
+            }
+            return overlapAllowed;
+        }
+
+        private void disconnect() {
             disconnected = true;
-            currentExchange = null;
-            busy = false;
             disconnectAction.run();
         }
     }
