Limit responses and give no call the answer to another one

Cause: ClientConnection kept the body of a response, interim responses and discarded late answers without any limit, in a heap of 96 MB; a Keep-Alive timeout of 30 digits threw while a complete answer was handed over, so that the caller of work that ran got 502; a second copy of an answer without the echoed id was taken for the answer to the next request; bytes of an incomplete message in the decoder didn't keep a connection from being reused.

Change: a call fails as TOO_LARGE, which may have run, after 4 MiB (heads and interim responses count) or when all responses being received exceed 24 MiB; the connection is closed. A connection is reused only if its responses repeat the echoed header and no undecoded bytes are left; on a used connection a response without that header fails the call. A request that HTTP doesn't allow fails at once as not sent.

Ruled out: heads without end (Netty's limits hold, shown by a test); answers cut at any byte, with length or in chunks, and answers until close that end with a reset (never a success before either, now shown for each position).

Tests: HttpClientTest.

--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamHttpMapper.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamHttpMapper.java
@@ -64,6 +64,8 @@
                     case CLOSED -> Reason.BACKEND_SERVER_FAILED;
                     case TIMEOUT -> Reason.DEADLINE_PASSED;
                     case MALFORMED -> Reason.ANSWER_CROSSED;
+                    case TOO_LARGE -> Reason.ANSWER_TOO_LARGE;
+                    case INVALID_REQUEST -> Reason.MALFORMED_REQUEST;
                     case CANCELLED -> Reason.ABANDONED;
                 };
         return failureAnswer(notSent ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN, reason, !notSent);
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamMonitor.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamMonitor.java
@@ -187,8 +187,8 @@
                 yield true;
             }
             case TIMEOUT -> hadAmpleTime(attempt);
-            case MALFORMED -> true;
-            case CANCELLED -> false;
+            case MALFORMED, TOO_LARGE -> true;
+            case CANCELLED, INVALID_REQUEST -> false;
         };
     }
 
--- a/engine/src/main/java/org/sardineshunt/engine/http/ClientConnection.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/ClientConnection.java
@@ -11,10 +11,13 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -24,15 +27,31 @@
 /** A client connection that carries one call at a time. All state is confined to the client's event loop. */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final int INFORMATIONAL_CLASS = 1;
+    private static final int MAXIMUM_LINE_BYTES = 16_384;
+    private static final int MAXIMUM_HEADER_BYTES = 65_536;
+    private static final int MAXIMUM_CHUNK_BYTES = 65_536;
+
+    // Counted for each head and header field besides its text, so that many short ones reach the limit, too.
+    private static final int HEAD_OVERHEAD_BYTES = 1_024;
+    private static final int FIELD_OVERHEAD_BYTES = 32;
+
+    private static final int MAXIMUM_KEEP_ALIVE_DIGITS = 9;
 
     private final InetSocketAddress address;
     private final String echoedHeader;
     private final Consumer<ClientConnection> onClosed;
+    private final ResponseDecoder decoder = new ResponseDecoder(
+            new HttpDecoderConfig()
+                    .setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
+                    .setMaxHeaderSize(MAXIMUM_HEADER_BYTES)
+                    .setMaxChunkSize(MAXIMUM_CHUNK_BYTES),
+            this::requestMethod);
     private Channel channel;
     private HttpClient.Call call;
     private HttpResponse head;
     private ByteArrayOutputStream body;
-    private boolean staleResponseSeen;
+    private boolean attributionUncertain;
+    private boolean usedBefore;
     private boolean discarding;
     private long idleSinceNanos;
     private long serverIdleTimeoutMillis = Long.MAX_VALUE;
@@ -49,12 +68,23 @@
 
     boolean isReusable(long maximumIdleMillis) {
         long idleMillis = (System.nanoTime() - idleSinceNanos) / 1_000_000;
-        return channel.isActive() && idleMillis <= Math.min(maximumIdleMillis, serverIdleTimeoutMillis);
+        return channel.isActive()
+                && !decoder.hasUndecodedBytes()
+                && idleMillis <= Math.min(maximumIdleMillis, serverIdleTimeoutMillis);
     }
 
-    void send(HttpClient.Call newCall) {
-        call = newCall;
-        HttpRequestData request = newCall.request();
+    /** Adds the codec and this handler to the pipeline of a new connection. */
+    void install(Channel newChannel) {
+        channel = newChannel;
+        newChannel.pipeline().addLast(decoder, new HttpRequestEncoder(), this);
+    }
+
+    /**
+     * Encodes a request.
+     *
+     * @throws IllegalArgumentException if HTTP doesn't allow its method or a header
+     */
+    static FullHttpRequest encode(HttpRequestData request) {
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 HttpMethod.valueOf(request.method()),
@@ -64,6 +94,11 @@
         if (request.body().length > 0 || expectsBody(request.method())) {
             message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
         }
+        return message;
+    }
+
+    void send(HttpClient.Call newCall, FullHttpRequest message) {
+        call = newCall;
         channel.writeAndFlush(message).addListener(written -> {
             if (!written.isSuccess()) {
                 fail(
@@ -80,11 +115,6 @@
         }
     }
 
-    @Override
-    public void handlerAdded(ChannelHandlerContext context) {
-        channel = context.channel();
-    }
-
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
         if (call == null) {
@@ -119,7 +149,14 @@
         context.close();
     }
 
+    private String requestMethod() {
+        return call == null ? "" : call.request().method();
+    }
+
     private void receiveHead(HttpResponse response) {
+        if (!call.receive(sizeOf(response))) {
+            return;
+        }
         if (response.status().code() / 100 == INFORMATIONAL_CLASS) {
             discarding = true;
             return;
@@ -130,15 +167,28 @@
                 : HttpHeader.firstValue(call.request().headers(), echoedHeader).orElse(null);
         if (echoed != null && expected != null && !echoed.equals(expected)) {
             // A late response to an earlier request: discard it, wait for the right one and then close the connection.
-            staleResponseSeen = true;
+            attributionUncertain = true;
             discarding = true;
             return;
         }
+        if (expected != null && echoed == null) {
+            if (usedBefore) {
+                fail(
+                        call,
+                        FailureKind.MALFORMED,
+                        "response without header '" + echoedHeader + "' on a used connection");
+                return;
+            }
+            attributionUncertain = true;
+        }
         head = response;
         body = new ByteArrayOutputStream();
     }
 
     private void receiveContent(HttpContent content) {
+        if (call == null || !call.receive(content.content().readableBytes())) {
+            return;
+        }
         if (!discarding && body != null) {
             appendBody(content.content());
         }
@@ -164,9 +214,10 @@
                 .toList();
         HttpResponseData response = new HttpResponseData(head.status().code(), headers, body.toByteArray());
         boolean reusable =
-                HttpUtil.isKeepAlive(head) && hasDelimitedBody(head) && !staleResponseSeen && channel.isActive();
+                HttpUtil.isKeepAlive(head) && hasDelimitedBody(head) && !attributionUncertain && channel.isActive();
         serverIdleTimeoutMillis = serverIdleTimeoutMillis(response);
         idleSinceNanos = System.nanoTime();
+        usedBefore = true;
         HttpClient.Call completedCall = call;
         call = null;
         head = null;
@@ -181,6 +232,15 @@
         }
     }
 
+    private static int sizeOf(HttpResponse response) {
+        return HEAD_OVERHEAD_BYTES
+                + response.headers().entries().stream()
+                        .mapToInt(field -> FIELD_OVERHEAD_BYTES
+                                + field.getKey().length()
+                                + field.getValue().length())
+                        .sum();
+    }
+
     private static boolean expectsBody(String method) {
         return method.equals("POST") || method.equals("PUT") || method.equals("PATCH");
     }
@@ -200,7 +260,8 @@
                         .map(String::trim)
                         .filter(part -> part.startsWith("timeout="))
                         .map(part -> part.substring("timeout=".length()))
-                        .filter(part -> part.chars().allMatch(Character::isDigit) && !part.isEmpty())
+                        .filter(part -> !part.isEmpty() && part.length() <= MAXIMUM_KEEP_ALIVE_DIGITS)
+                        .filter(part -> part.chars().allMatch(digit -> digit >= '0' && digit <= '9'))
                         .findFirst())
                 .map(seconds -> Long.parseLong(seconds) * 1_000 - 500)
                 .orElse(Long.MAX_VALUE);
--- a/engine/src/main/java/org/sardineshunt/engine/http/HttpClient.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/HttpClient.java
@@ -15,7 +15,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.FullHttpRequest;
 import org.sardineshunt.engine.http.HttpOutcome.Failed;
 import org.sardineshunt.engine.http.HttpOutcome.FailureKind;
 import org.sardineshunt.engine.http.HttpOutcome.Stage;
@@ -29,19 +29,24 @@
  * call.cancel();
  * }</pre>
  *
- * <p>A connection is reused only after a complete, well-formed response to its own request; a message that arrives
- * between two calls closes it. Requests are never retried. Thread-safe; each call reports one outcome, on the event
- * loop.
+ * <p>A connection is reused only after a complete, well-formed response to its own request that repeats the echoed
+ * header, if there is one; bytes that arrive between two calls close it. Requests are never retried. Thread-safe; each
+ * call reports one outcome, on the event loop.
  */
 public final class HttpClient implements AutoCloseable {
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
-    private static final int MAXIMUM_LINE_BYTES = 16_384;
-    private static final int MAXIMUM_HEADER_BYTES = 65_536;
-    private static final int MAXIMUM_CHUNK_BYTES = 65_536;
+
+    // All responses that are being received together; one call fails if its response would exceed this.
+    private static final long MAXIMUM_BUFFERED_BYTES = 24 << 20;
+
+    /** Default limit of a response, with its head and with the interim and stale responses before it. */
+    public static final int DEFAULT_MAXIMUM_RESPONSE_BYTES = 4 << 20;
 
     private final EventLoop loop;
     private final String echoedHeader;
+    private final int maximumResponseBytes;
     private final Map<InetSocketAddress, Deque<ClientConnection>> idleConnections = new HashMap<>();
+    private long bufferedBytes;
     private boolean closed;
 
     /**
@@ -50,10 +55,18 @@
      * @param loop event loop of all connections
      * @param echoedHeader header that a response copies from its request, used to detect a response to another request;
      *     empty if there is none
+     * @param maximumResponseBytes limit of a response, with its head and with the interim and stale responses before it;
+     *     a call whose response is longer fails
      */
-    public HttpClient(EventLoop loop, String echoedHeader) {
+    public HttpClient(EventLoop loop, String echoedHeader, int maximumResponseBytes) {
         this.loop = loop;
         this.echoedHeader = echoedHeader;
+        this.maximumResponseBytes = maximumResponseBytes;
+    }
+
+    /** Creates a client with the default limit of a response. */
+    public HttpClient(EventLoop loop, String echoedHeader) {
+        this(loop, echoedHeader, DEFAULT_MAXIMUM_RESPONSE_BYTES);
     }
 
     /**
@@ -116,6 +129,14 @@
         return null;
     }
 
+    private boolean reserve(int responseBytes, int addedBytes) {
+        if (responseBytes > maximumResponseBytes || bufferedBytes + addedBytes > MAXIMUM_BUFFERED_BYTES) {
+            return false;
+        }
+        bufferedBytes += addedBytes;
+        return true;
+    }
+
     private ChannelFuture connect(ClientConnection connection) {
         return new Bootstrap()
                 .group(loop)
@@ -126,11 +147,7 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         KeepAliveProbes.enable(channel);
-                        channel.pipeline()
-                                .addLast(
-                                        new HttpClientCodec(
-                                                MAXIMUM_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES),
-                                        connection);
+                        connection.install(channel);
                     }
                 })
                 .connect(connection.address());
@@ -152,6 +169,7 @@
         private final Consumer<HttpOutcome> onOutcome;
         private ClientConnection connection;
         private java.util.concurrent.ScheduledFuture<?> timeoutTimer;
+        private int reservedBytes;
         private boolean sent;
         private boolean ended;
 
@@ -172,6 +190,21 @@
             return request;
         }
 
+        /** Counts received bytes; fails the call and returns false if they exceed a limit. */
+        boolean receive(int bytes) {
+            if (ended) {
+                return false;
+            }
+            // An overflow means that the limit is exceeded, too.
+            int total = reservedBytes + bytes;
+            if (total < 0 || !reserve(total, bytes)) {
+                fail(FailureKind.TOO_LARGE, "response exceeds the limit after " + reservedBytes + " bytes");
+                return false;
+            }
+            reservedBytes = total;
+            return true;
+        }
+
         void complete(HttpResponseData response, boolean reusable) {
             if (ended) {
                 return;
@@ -201,7 +234,7 @@
                     TimeUnit.MILLISECONDS);
             connection = takeFromPool(address, options.maximumIdleMillis());
             if (connection != null) {
-                sendRequest();
+                sendOrFail();
                 return;
             }
             connection = new ClientConnection(address, echoedHeader, HttpClient.this::removeFromPool);
@@ -211,18 +244,28 @@
                 } else if (ended) {
                     connection.close();
                 } else {
-                    sendRequest();
+                    sendOrFail();
                 }
             });
         }
 
+        private void sendOrFail() {
+            try {
+                sendRequest();
+            } catch (IllegalArgumentException invalid) {
+                fail(FailureKind.INVALID_REQUEST, "cannot encode the request: " + invalid.getMessage());
+            }
+        }
+
         private void sendRequest() {
+            FullHttpRequest message = ClientConnection.encode(request);
             sent = true;
-            connection.send(this);
+            connection.send(this, message);
         }
 
         private void finish(HttpOutcome outcome) {
             ended = true;
+            bufferedBytes -= reservedBytes;
             timeoutTimer.cancel(false);
             onOutcome.accept(outcome);
         }
--- a/engine/src/main/java/org/sardineshunt/engine/http/HttpOutcome.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/HttpOutcome.java
@@ -36,6 +36,10 @@
         TIMEOUT,
         /** The received bytes are not a valid HTTP response. */
         MALFORMED,
+        /** The response exceeds the size limit. */
+        TOO_LARGE,
+        /** The request has a method or a header that HTTP doesn't allow. */
+        INVALID_REQUEST,
         /** The call was cancelled through {@link HttpClient.Call#cancel}. */
         CANCELLED
     }
