Keep odd rows, answers and late announcements from harming a node

Frames are limited to 8 MiB and their head, and callers' bodies to 8 MiB: a heap of 96 MB can't hold a 64 MiB body, and an out-of-memory error could hit any thread.

--- a/coordination/src/main/java/org/sardineshunt/coordination/Reason.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/Reason.java
@@ -1,5 +1,9 @@
 package org.sardineshunt.coordination;
 
+import java.util.Arrays;
+import java.util.Map;
+import java.util.stream.Collectors;
+
 /** Why a request was refused, retried or left unresolved. Answers, logs and metrics carry its label. */
 public enum Reason {
     /** The request was not refused and did not fail. */
@@ -69,7 +73,12 @@
     /** The answer exceeds the size limit. */
     ANSWER_TOO_LARGE("answer-too-large", 502),
     /** The backend server answered with a status of 500 or above. */
-    SERVER_ERROR("server-error", 502);
+    SERVER_ERROR("server-error", 502),
+    /** Another node gave a reason that this version doesn't know. */
+    UNKNOWN("unknown", 502);
+
+    private static final Map<String, Reason> BY_LABEL =
+            Arrays.stream(values()).collect(Collectors.toUnmodifiableMap(Reason::label, reason -> reason));
 
     private final String label;
     private final int httpStatus;
@@ -89,15 +98,21 @@
         return httpStatus;
     }
 
+    /** Returns the reason with the given label; {@link #UNKNOWN} if there is none, as from a node of a later version. */
+    public static Reason ofPeerLabel(String label) {
+        return BY_LABEL.getOrDefault(label, UNKNOWN);
+    }
+
     /**
      * Returns the reason with the given label.
      *
      * @throws IllegalArgumentException if no reason has this label
      */
     public static Reason ofLabel(String label) {
-        return java.util.Arrays.stream(values())
-                .filter(reason -> reason.label.equals(label))
-                .findFirst()
-                .orElseThrow(() -> new IllegalArgumentException("unknown reason label '" + label + "'"));
+        Reason reason = BY_LABEL.get(label);
+        if (reason == null) {
+            throw new IllegalArgumentException("unknown reason label '" + label + "'");
+        }
+        return reason;
     }
 }
--- a/coordination/src/main/java/org/sardineshunt/coordination/Verdict.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/Verdict.java
@@ -1,5 +1,7 @@
 package org.sardineshunt.coordination;
 
+import java.util.Optional;
+
 /**
  * States whether the work of a request may have run.
  *
@@ -15,12 +17,19 @@
     /** A backend server ran the request and its complete answer is known. */
     RAN("ran");
 
+    private static final Verdict[] VALUES = values();
+
     private final String label;
 
     Verdict(String label) {
         this.label = label;
     }
 
+    /** Returns the verdict with an ordinal; empty if there is none. */
+    public static Optional<Verdict> ofOrdinal(int ordinal) {
+        return ordinal >= 0 && ordinal < VALUES.length ? Optional.of(VALUES[ordinal]) : Optional.empty();
+    }
+
     /** Returns the name that callers receive. */
     public String label() {
         return label;
--- a/coordination/src/main/java/org/sardineshunt/coordination/announcement/AnnouncementTracker.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/announcement/AnnouncementTracker.java
@@ -38,6 +38,26 @@
         return true;
     }
 
+    /**
+     * Merges what this process stored before a restart. An announcement of the same start that has arrived since, maybe
+     * late, doesn't take the upstream back to an earlier phase.
+     *
+     * @return whether the current announcement changed
+     */
+    public boolean restore(Announcement stored) {
+        if (current == null) {
+            current = stored;
+            return true;
+        }
+        if (isSameStart(stored.id(), stored.startedEpochMillis())) {
+            boolean laterPhase = stored.phase().compareTo(current.phase()) > 0;
+            current = laterPhase ? current.withPhase(stored.phase()) : current;
+            return laterPhase;
+        }
+        boolean bothStartsKnown = stored.startedEpochMillis() != 0 && current.startedEpochMillis() != 0;
+        return bothStartsKnown && merge(stored);
+    }
+
     /**
      * Records that an upstream leaves, even if there is no announcement yet: a restarted node may read the stored
      * announcement of the upstream only afterwards, which must not make the upstream {@link Phase#READY} again.
--- a/coordination/src/main/java/org/sardineshunt/coordination/route/FleetConfiguration.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/route/FleetConfiguration.java
@@ -107,5 +107,10 @@
     public record CallerLimits(int headerBytes, int bodyBytes, long headerTimeoutMillis, long idleTimeoutMillis) {
         /** Limits in force until a configuration is known. */
         public static final CallerLimits DEFAULT = new CallerLimits(16_384, 64 << 20, 3_000, 15_000);
+
+        /** Returns a copy of these limits with another limit of bodies. */
+        public CallerLimits withBodyBytes(int newBodyBytes) {
+            return new CallerLimits(headerBytes, newBodyBytes, headerTimeoutMillis, idleTimeoutMillis);
+        }
     }
 }
--- a/coordination/src/test/java/org/sardineshunt/coordination/announcement/AnnouncementTrackerTest.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/announcement/AnnouncementTrackerTest.java
@@ -38,6 +38,23 @@
         assertThat(currentPhase(), is(Phase.LEFT));
     }
 
+    @Test
+    void restoresTheLaterPhaseBesideAnAnnouncementThatArrivedFirst() {
+        tracker.merge(announcement("a", 1, 6, Phase.READY));
+        assertThat(tracker.restore(announcement("a", 1, 5, Phase.LEFT)), is(true));
+        assertThat(currentPhase(), is(Phase.LEFT));
+        tracker.merge(announcement("a", 1, 7, Phase.READY));
+        assertThat(currentPhase(), is(Phase.LEFT));
+    }
+
+    @Test
+    void restoresNothingOverALaterOrUnknownStart() {
+        tracker.merge(announcement("b", 2, 1, Phase.READY));
+        assertThat(tracker.restore(announcement("a", 1, 9, Phase.READY)), is(false));
+        assertThat(tracker.restore(announcement("c", 0, 9, Phase.READY)), is(false));
+        assertThat(tracker.current().orElseThrow().id(), is("b"));
+    }
+
     @Test
     void acceptsALaterStartWithTheSameId() {
         tracker.merge(announcement("a", 1, 50, Phase.READY));
--- a/engine/src/main/java/org/sardineshunt/engine/ControlEventLoop.java
+++ b/engine/src/main/java/org/sardineshunt/engine/ControlEventLoop.java
@@ -9,7 +9,7 @@
 
 /**
  * The event loop whose one thread, the control thread, owns all state of an engine, with its clock and timers. Logs the
- * exceptions that actions throw. Thread-safe.
+ * exceptions and errors that actions throw, none of which ends it. Thread-safe.
  */
 public final class ControlEventLoop implements TimerService, Executor {
     private final EventLoop loop;
@@ -50,12 +50,12 @@
         loop.execute(loggingFailures(action));
     }
 
-    // Without this, an exception would end a periodic action unnoticed.
+    // Without this, an exception or a stack overflow would end a periodic action unnoticed.
     private Runnable loggingFailures(Runnable action) {
         return () -> {
             try {
                 action.run();
-            } catch (RuntimeException failure) {
+            } catch (RuntimeException | Error failure) {
                 log.event("internal-error")
                         .with("failure", failure.toString())
                         .with("at", failure.getStackTrace().length > 0 ? failure.getStackTrace()[0].toString() : "")
--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -276,7 +276,8 @@
 
     private CallerLimits callerLimits() {
         FleetConfiguration current = configuration;
-        return current == null ? CallerLimits.DEFAULT : current.limits();
+        CallerLimits limits = current == null ? CallerLimits.DEFAULT : current.limits();
+        return limits.withBodyBytes(Math.min(limits.bodyBytes(), PeerNetwork.MAXIMUM_BODY_BYTES));
     }
 
     private void acknowledgeWhenStored(boolean changed, Runnable acknowledge) {
@@ -308,13 +309,11 @@
     // After a restart of this process alone its upstream is still running, and this node's row describes it. A row
     // with another host was written on another instance.
     private void restoreUpstream() {
-        if (home.announcement().isEmpty()) {
-            directory
-                    .node(settings.nodeId())
-                    .filter(row -> row.address().host().equals(ownAddress.host()))
-                    .flatMap(KnownNode::upstream)
-                    .ifPresent(home::recordAnnouncement);
-        }
+        directory
+                .storedOwnNode()
+                .filter(row -> row.address().host().equals(ownAddress.host()))
+                .flatMap(KnownNode::upstream)
+                .ifPresent(home::restoreAnnouncement);
     }
 
     private void becomeReadyIfLoaded() {
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
@@ -102,6 +102,12 @@
         return applyChange(previous);
     }
 
+    /** Records the announcement that was stored before this process started; returns whether the upstream changed. */
+    public boolean restoreAnnouncement(Announcement stored) {
+        Optional<Announcement> previous = announcements.current();
+        return announcements.restore(stored) && applyChange(previous);
+    }
+
     /**
      * Records that the upstream leaves.
      *
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamHttpMapper.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamHttpMapper.java
@@ -1,6 +1,7 @@
 package org.sardineshunt.engine.backendserver;
 
 import java.util.List;
+import java.util.Set;
 import java.util.stream.Stream;
 
 import com.google.protobuf.ByteString;
@@ -22,6 +23,9 @@
     private static final int MISDIRECTED_REQUEST = 421;
     private static final int GATEWAY_TIMEOUT = 504;
 
+    // Callers take these statuses as a promise that the request has not run. Only a marked response gives it.
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 429, 503);
+
     private final RequestHeaders headers;
 
     UpstreamHttpMapper(RequestHeaders headers) {
@@ -100,6 +104,9 @@
         if (response.status() == MISDIRECTED_REQUEST) {
             return failureAnswer(Verdict.NOT_RUN, Reason.BACKEND_SERVER_REFUSED, true);
         }
+        if (NOT_RUN_STATUSES.contains(response.status())) {
+            return failureAnswer(Verdict.MAY_HAVE_RUN, Reason.SERVER_ERROR, true);
+        }
         boolean success = response.status() / 100 == 2;
         // An unsigned success does not come from the upstream, and the request may have run there all the same.
         if (success && response.header(headers.signature()).isEmpty()
--- a/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
@@ -282,8 +282,8 @@
         if (pending.ended) {
             return;
         }
-        Verdict verdict = Verdict.values()[answer.getVerdict()];
-        Reason reason = Reason.ofLabel(answer.getReason());
+        Verdict verdict = Verdict.ofOrdinal(answer.getVerdict()).orElse(Verdict.MAY_HAVE_RUN);
+        Reason reason = Reason.ofPeerLabel(answer.getReason());
         if (verdict == Verdict.RAN && reason == Reason.NONE) {
             respond(pending, verdict, reason, toResponse(answer));
             return;
--- a/engine/src/main/java/org/sardineshunt/engine/caller/HomeRegistry.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/HomeRegistry.java
@@ -151,9 +151,11 @@
         HomeState state = stateOf(nodeId);
         int slots = Math.max(1, node.upstream().orElseThrow().slots());
         boolean fresh = state.load != null && now - state.reportedMillis < MAXIMUM_LOAD_AGE_MILLIS;
-        int reportedRequests = fresh ? state.load.getInFlight() + state.load.getWaiting() + state.sentSinceReport : 0;
+        int reportedRequests = fresh
+                ? Math.max(0, state.load.getInFlight()) + Math.max(0, state.load.getWaiting()) + state.sentSinceReport
+                : 0;
         int outstandingRequests = Math.max(reportedRequests, state.outstanding);
-        double serviceMillis = state.load == null || state.load.getServiceMillis() == 0
+        double serviceMillis = state.load == null || state.load.getServiceMillis() <= 0
                 ? medianServiceMillis
                 : state.load.getServiceMillis();
         double reportedWaitMillis = fresh ? waitMillis(state.load, waitIndex) : 0;
@@ -178,7 +180,7 @@
     // last two hold for all further ranks.
     private static double waitMillis(HomeLoad load, int waitIndex) {
         int count = load.getWaitMillisCount();
-        return count < 2 ? 0 : load.getWaitMillis(Math.min(waitIndex, count - 2 + waitIndex % 2));
+        return count < 2 ? 0 : Math.max(0, load.getWaitMillis(Math.min(waitIndex, count - 2 + waitIndex % 2)));
     }
 
     private static boolean serves(KnownNode node, String service) {
--- /dev/null
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/AnswerValidator.java
@@ -0,0 +1,40 @@
+package org.sardineshunt.engine.peer;
+
+import java.util.Optional;
+
+import io.netty.handler.codec.http.HttpHeaderValidationUtil;
+import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.engine.protocol.EngineMessages.Answer;
+import org.sardineshunt.engine.protocol.EngineMessages.Header;
+
+/** Checks answers of other nodes before they are used: one that can't be passed on would leave its caller waiting. */
+final class AnswerValidator {
+    private static final int MINIMUM_STATUS = 200;
+    private static final int MAXIMUM_STATUS = 599;
+
+    private AnswerValidator() {}
+
+    /** Returns what makes an answer unusable; empty if it is valid. */
+    static Optional<String> findFault(Answer answer) {
+        Optional<Verdict> verdict = Verdict.ofOrdinal(answer.getVerdict());
+        if (verdict.isEmpty()) {
+            return Optional.of("unknown verdict " + answer.getVerdict());
+        }
+        if (verdict.get() != Verdict.RAN) {
+            return Optional.empty();
+        }
+        if (answer.getStatus() < MINIMUM_STATUS || answer.getStatus() > MAXIMUM_STATUS) {
+            return Optional.of("status " + answer.getStatus());
+        }
+        return answer.getHeadersList().stream()
+                .filter(header -> !isValid(header))
+                .findFirst()
+                .map(header -> "header '" + header.getName() + "'");
+    }
+
+    private static boolean isValid(Header header) {
+        return !header.getName().isEmpty()
+                && HttpHeaderValidationUtil.validateToken(header.getName()) == -1
+                && HttpHeaderValidationUtil.validateValidHeaderValue(header.getValue()) == -1;
+    }
+}
--- a/engine/src/main/java/org/sardineshunt/engine/peer/NodeDirectory.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/NodeDirectory.java
@@ -40,6 +40,8 @@
     private final Map<String, KnownNode> nodes = new HashMap<>();
     private List<KnownNode> currentNodes = List.of();
     private KnownNode ownNode;
+    private KnownNode storedOwnNode;
+    private boolean firstReadDone;
     private boolean writeInProgress;
     private long ownRowVersion;
 
@@ -79,6 +81,11 @@
         return Optional.ofNullable(nodes.get(nodeId));
     }
 
+    /** Returns the row that an earlier process of this node stored, if there was one at the first read. */
+    public Optional<KnownNode> storedOwnNode() {
+        return Optional.ofNullable(storedOwnNode);
+    }
+
     /**
      * Writes this node's row and retries until it is stored or a later call replaces it.
      *
@@ -140,21 +147,31 @@
         changed.forEach(row -> {
             if (row.key().equals(ownId)) {
                 ownRowVersion = Math.max(ownRowVersion, row.version());
-            }
-            if (row.key().equals(ownId) && ownNode != null) {
-                // The table can only be behind what this process knows about its own node.
-                return;
-            }
-            if (row.removed()) {
+                restoreOwnNode(row);
+            } else if (row.removed()) {
                 nodes.remove(row.key());
             } else {
                 decode(row).ifPresent(node -> putNode(node, row.version()));
             }
         });
+        firstReadDone = true;
         updateCurrentNodes();
         onChanged.run();
     }
 
+    // After the first read the table can only be behind what this process knows about its own node.
+    private void restoreOwnNode(Row row) {
+        if (firstReadDone || row.removed()) {
+            return;
+        }
+        decode(row).ifPresent(node -> {
+            storedOwnNode = node;
+            if (ownNode == null) {
+                putNode(node, row.version());
+            }
+        });
+    }
+
     // An address belongs to the node that started last: the others with that address are gone.
     private void updateCurrentNodes() {
         currentNodes = List.copyOf(nodes.values().stream()
@@ -184,9 +201,8 @@
     private Optional<KnownNode> decode(Row row) {
         try {
             NodeRecord node = NodeRecord.parseFrom(row.value());
-            if (!node.getNodeId().equals(row.key()) || node.getHost().isEmpty()) {
-                throw new InvalidProtocolBufferException(
-                        "row lacks a host or its key is not the node ID '" + node.getNodeId() + "'");
+            if (!node.getNodeId().equals(row.key())) {
+                throw new InvalidProtocolBufferException("key is not the node ID '" + node.getNodeId() + "'");
             }
             Optional<Announcement> upstream =
                     node.hasUpstream() ? Optional.of(decode(node.getUpstream())) : Optional.empty();
--- a/engine/src/main/java/org/sardineshunt/engine/peer/PeerLink.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/PeerLink.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 import io.vavr.control.Either;
@@ -118,6 +119,11 @@
             incarnation = frame.getHello().getIncarnation();
             listener.helloReceived(this, frame.getHello().getNodeId());
         } else if (frame.hasAnswer()) {
+            Optional<String> fault = AnswerValidator.findFault(frame.getAnswer());
+            if (fault.isPresent()) {
+                close("invalid answer of node '" + address.nodeId() + "': " + fault.get());
+                return;
+            }
             PendingCall call = pendingCalls.remove(frame.getCorrelation());
             if (call != null) {
                 call.onResult().accept(Either.right(frame.getAnswer()));
--- a/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
@@ -29,8 +29,12 @@
 
 /** Links to and from other nodes, opened on first use. Confined to the control thread except for {@link #listen}. */
 public final class PeerNetwork {
+    /** Longest body of a request or an answer that a link carries. */
+    public static final int MAXIMUM_BODY_BYTES = 8 << 20;
+
     private static final int PROTOCOL_VERSION = 1;
-    private static final int MAXIMUM_FRAME_BYTES = 72 << 20;
+    private static final int MAXIMUM_HEAD_BYTES = 256 << 10;
+    private static final int MAXIMUM_FRAME_BYTES = MAXIMUM_BODY_BYTES + MAXIMUM_HEAD_BYTES;
     private static final int CONNECT_TIMEOUT_MILLIS = 600;
     private static final long FIRST_PROBE_DELAY_MILLIS = 100;
     private static final long MAXIMUM_PROBE_DELAY_MILLIS = 4_000;
--- a/engine/src/main/java/org/sardineshunt/engine/platform/TableWatch.java
+++ b/engine/src/main/java/org/sardineshunt/engine/platform/TableWatch.java
@@ -100,14 +100,16 @@
         boolean first = !loaded;
         loaded = true;
         updatedAtMillis = control.nowMillis();
+        // Scheduled first, so that rows which the receiver can't handle don't end the watch.
+        control.after(changed.isEmpty() ? 0 : changePauseMillis, this::awaitChanges);
         if (first || !changed.isEmpty()) {
             onChanged.accept(changed);
         }
-        control.after(changed.isEmpty() ? 0 : changePauseMillis, this::awaitChanges);
     }
 
     private List<Row> changedRows(List<Row> read) {
-        Map<String, Row> byKey = read.stream().collect(Collectors.toMap(Row::key, row -> row));
+        Map<String, Row> byKey =
+                read.stream().collect(Collectors.toMap(Row::key, row -> row, (earlier, later) -> later));
         return java.util.stream.Stream.concat(
                         read.stream().filter(row -> {
                             Row known = rows.get(row.key());
--- a/engine/src/test/java/org/sardineshunt/engine/EngineUpstreamRestartTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineUpstreamRestartTest.java
@@ -1,5 +1,7 @@
 package org.sardineshunt.engine;
 
+import java.util.concurrent.atomic.AtomicBoolean;
+
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.sardineshunt.coordination.announcement.Announcement;
@@ -40,4 +42,28 @@
                 .anyMatch(line -> line.contains("attempt-failed")));
         assertThat(fleet.sendAndGetStatus(0, "POST", EngineFleet.BOOKING_PATH), is(200));
     }
+
+    /**
+     * Guards against taking a delayed announcement for the state of the upstream: the restarted process had not read
+     * its row yet, and then neither used it nor kept it.
+     */
+    @Test
+    void keepsALeavingUpstreamOutWhenALateAnnouncementPrecedesTheStoredRow() {
+        AtomicBoolean left = new AtomicBoolean();
+        fleet.engine(0).leave("upstream-0", 0, () -> left.set(true));
+        Await.until("the leave was stored", left::get);
+        fleet.table().setDown(true);
+        Engine restarted = fleet.restart(0);
+        restarted.configure(EngineFleet.configuration(1, 4_000));
+        AtomicBoolean acknowledged = new AtomicBoolean();
+        restarted.announce(EngineFleet.announcement(0, 1, Phase.READY), () -> acknowledged.set(true));
+        Await.until("the late announcement was acknowledged", acknowledged::get);
+        fleet.upstream(0).receivedRequests().clear();
+
+        fleet.table().setDown(false);
+        Await.until("the restarted engine is ready", restarted::isReady);
+
+        assertThat(fleet.sendAndGetStatus(0, "POST", EngineFleet.BOOKING_PATH), is(503));
+        assertThat(fleet.receivedRequestCount(), is(0));
+    }
 }
