Refuse at a stop what can't end in time, and estimate service times from more than one sample

Change: StopAdmission; once callers can know of the stop, a request whose response is expected too late is refused at once, as not run, with the time of the restart as Retry-After.

Service times: the first sample of a home set its estimate. Change: ServiceTimeEstimate starts from the median of the service's upstreams, which counts like three samples.

EntryService: AttemptFactory and EntryResponses are files of their own.

--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -15,6 +15,7 @@
 import org.sardineshunt.coordination.RendezvousHashing;
 import org.sardineshunt.coordination.announcement.Announcement;
 import org.sardineshunt.coordination.idempotency.CrashingRequestDetector;
+import org.sardineshunt.coordination.limit.StopAdmission;
 import org.sardineshunt.coordination.placement.PlacementPolicy;
 import org.sardineshunt.coordination.rotation.Rotation;
 import org.sardineshunt.coordination.route.FleetConfiguration;
@@ -221,6 +222,9 @@
                     .write();
             home.stopAccepting();
             callerServer.closeAfterResponses();
+            entry.limitForStop(StopAdmission.stopping(
+                    stopStartedMillis + STOP_MAXIMUM_DETECTION_MILLIS,
+                    stopStartedMillis + settings.limits().stopTimeoutMillis() - STOP_FINAL_RESPONSES_MILLIS));
             publishOwnNode(() -> {});
             control.after(STOP_POLL_INTERVAL_MILLIS, () -> awaitIdle(stopStartedMillis, stopped));
         });
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamMonitor.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamMonitor.java
@@ -8,6 +8,7 @@
 import org.sardineshunt.coordination.health.UpstreamHealth;
 import org.sardineshunt.coordination.health.UpstreamHealth.Outcome;
 import org.sardineshunt.coordination.idempotency.CrashingRequestDetector;
+import org.sardineshunt.coordination.placement.ServiceTimeEstimate;
 import org.sardineshunt.coordination.rotation.HealthCondition;
 import org.sardineshunt.engine.ControlEventLoop;
 import org.sardineshunt.engine.EngineContext;
@@ -27,8 +28,10 @@
     // A missed deadline counts against the upstream only if the request had this multiple of its service time.
     private static final double AMPLE_TIME_SERVICE_FACTOR = 4;
 
-    // Weights of the newest sample in exponentially weighted means.
-    private static final double SERVICE_TIME_SMOOTHING_FACTOR = 0.1;
+    // Assumed as long as no upstream of the service has reported a service time.
+    private static final double INITIAL_SERVICE_MILLIS = 300;
+
+    // Weight of the newest sample in the exponentially weighted mean.
     private static final double FAILURE_SHARE_SMOOTHING_FACTOR = 0.05;
 
     // Latencies are judged in permille of the route's target: a usual one is a sixth of it, a slow one exceeds it.
@@ -45,11 +48,10 @@
     private final BaselineProvider baselines;
     private final HomeService.Listener listener;
     private final Map<Long, Long> disconnectMillisByFingerprint = new HashMap<>();
-    private final Map<String, Double> meanMillisByRoute = new HashMap<>();
+    private final Map<String, ServiceTimeEstimate> serviceTimeByRoute = new HashMap<>();
+    private final ServiceTimeEstimate serviceTime = new ServiceTimeEstimate();
     private String upstreamId = "";
     private UpstreamHealth health = newHealth();
-    private double meanMillis;
-    private double meanSquare;
     private double failureShare;
 
     UpstreamMonitor(EngineContext context, BaselineProvider baselines, HomeService.Listener listener) {
@@ -78,12 +80,12 @@
      * count in proportion to their service time, so that many trivial ones don't hide the long ones.
      */
     double lengthBiasedServiceMillis() {
-        return meanMillis > 0 ? meanSquare / meanMillis : 0;
+        return serviceTime.lengthBiasedMillis();
     }
 
     /** Returns the mean service time of a route, or that of all routes for a new one; 0 while unknown. */
     double expectedServiceMillis(String route) {
-        return meanMillisByRoute.getOrDefault(route, meanMillis);
+        return serviceTimeByRoute.getOrDefault(route, serviceTime).meanMillis();
     }
 
     boolean isFailing() {
@@ -132,15 +134,11 @@
         failureShare += ((success ? 0 : 1) - failureShare) * FAILURE_SHARE_SMOOTHING_FACTOR;
         if (success) {
             crashDetector.recordAnswer(String.valueOf(attempt.getFingerprint()));
-            meanMillisByRoute.merge(
-                    attempt.getRoute(),
-                    (double) durationMillis,
-                    (mean, latest) -> mean + (latest - mean) * SERVICE_TIME_SMOOTHING_FACTOR);
-            double weight = meanMillis == 0 ? 1 : SERVICE_TIME_SMOOTHING_FACTOR;
-            meanMillis += (durationMillis - meanMillis) * weight;
-            meanSquare += ((double) durationMillis * durationMillis - meanSquare) * weight;
         }
-        updateBaseline(attempt);
+        Baseline groupBaseline = updateBaseline(attempt);
+        if (success) {
+            recordServiceTime(attempt, durationMillis, groupBaseline);
+        }
         double latencyPermille = attempt.getTargetMillis() == 0
                 ? BASELINE_LATENCY_PERMILLE
                 : 1_000.0 * durationMillis / attempt.getTargetMillis();
@@ -152,10 +150,19 @@
     }
 
     // The routes of a service have different latencies, so they are compared in permille of the route's target.
-    private void updateBaseline(Attempt attempt) {
+    private Baseline updateBaseline(Attempt attempt) {
         Baseline groupBaseline = baselines.baseline(attempt.getService());
         health.updateBaseline(
                 new Baseline(groupBaseline.failureShare(), BASELINE_LATENCY_PERMILLE, groupBaseline.upstreams()));
+        return groupBaseline;
+    }
+
+    private void recordServiceTime(Attempt attempt, long durationMillis, Baseline groupBaseline) {
+        double groupMillis = groupBaseline.medianLatencyMillis();
+        serviceTime.record(durationMillis, groupMillis > 0 ? groupMillis : INITIAL_SERVICE_MILLIS);
+        serviceTimeByRoute
+                .computeIfAbsent(attempt.getRoute(), route -> new ServiceTimeEstimate())
+                .record(durationMillis, serviceTime.meanMillis());
     }
 
     // Suspects requests whose connection was lost shortly before the upstream was found down to have crashed it.
--- /dev/null
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/AttemptFactory.java
@@ -0,0 +1,66 @@
+package org.sardineshunt.engine.caller;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+import com.google.protobuf.ByteString;
+import org.sardineshunt.coordination.RendezvousHashing;
+import org.sardineshunt.engine.EngineSettings;
+import org.sardineshunt.engine.http.HttpHeader;
+import org.sardineshunt.engine.http.HttpRequestData;
+import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
+import org.sardineshunt.engine.protocol.EngineMessages.Header;
+
+/** Builds the messages that carry requests to homes. Immutable and thread-safe. */
+final class AttemptFactory {
+    private final EngineSettings settings;
+
+    AttemptFactory(EngineSettings settings) {
+        this.settings = settings;
+    }
+
+    /**
+     * Returns the message of one attempt.
+     *
+     * @param lastResort whether the home should run it although its upstream isn't healthy
+     * @param leftMillis time left until the deadline
+     */
+    Attempt create(PendingRequest pending, String attemptId, boolean lastResort, long leftMillis) {
+        HttpRequestData request = pending.exchange.request();
+        List<Header> forwardedHeaders = HttpHeader.endToEnd(request.headers()).stream()
+                .filter(header -> !settings.headers().isSetByEngine(header.name()))
+                .map(header -> Header.newBuilder()
+                        .setName(header.name())
+                        .setValue(header.value())
+                        .build())
+                .toList();
+        return Attempt.newBuilder()
+                .setAttemptId(attemptId)
+                .setRequestId(pending.requestId)
+                .setService(pending.service)
+                .setRank(pending.rank)
+                .setIdempotent(pending.route.idempotent())
+                .setLeftMillis((int) leftMillis)
+                .setMethod(request.method())
+                .setTarget(request.target())
+                .addAllHeaders(forwardedHeaders)
+                .setBody(ByteString.copyFrom(request.body()))
+                .setCallerService(settings.callerService())
+                .setLastResort(lastResort)
+                .setFingerprint(pending.fingerprint)
+                .setRoute(pending.route.name())
+                .setFromRunningRequest(pending.fromRunningRequest)
+                .setTargetMillis((int) pending.route.targetLatencyMillis())
+                .build();
+    }
+
+    /** Returns a hash of the method, target and body, which names a request that crashes upstreams. */
+    static long fingerprint(HttpRequestData request) {
+        String content = request.method()
+                + ' '
+                + request.target()
+                + ' '
+                + new String(request.body(), StandardCharsets.ISO_8859_1);
+        return RendezvousHashing.hash(content);
+    }
+}
--- a/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
@@ -1,10 +1,8 @@
 package org.sardineshunt.engine.caller;
 
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -12,12 +10,11 @@
 import java.util.Set;
 import java.util.function.Supplier;
 
-import com.google.protobuf.ByteString;
 import io.vavr.control.Either;
 import org.sardineshunt.coordination.Reason;
-import org.sardineshunt.coordination.RendezvousHashing;
 import org.sardineshunt.coordination.Verdict;
 import org.sardineshunt.coordination.idempotency.CrashingRequestDetector;
+import org.sardineshunt.coordination.limit.StopAdmission;
 import org.sardineshunt.coordination.placement.HomeView;
 import org.sardineshunt.coordination.placement.PlacementPolicy;
 import org.sardineshunt.coordination.retry.RetryBudget;
@@ -29,13 +26,11 @@
 import org.sardineshunt.engine.EventLog;
 import org.sardineshunt.engine.MetricRegistry;
 import org.sardineshunt.engine.http.HttpExchange;
-import org.sardineshunt.engine.http.HttpHeader;
 import org.sardineshunt.engine.http.HttpRequestData;
 import org.sardineshunt.engine.http.HttpResponseData;
 import org.sardineshunt.engine.peer.PeerFailure;
 import org.sardineshunt.engine.protocol.EngineMessages.Answer;
 import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
-import org.sardineshunt.engine.protocol.EngineMessages.Header;
 import org.sardineshunt.engine.protocol.EngineMessages.Inquiry;
 
 /**
@@ -53,6 +48,10 @@
     private static final double RETRY_BUDGET_CAPACITY = 3;
     private static final long REFUSING_HOME_AVOIDANCE_MILLIS = 150;
     private static final long NOT_READY_RETRY_AFTER_MILLIS = 500;
+
+    // A stopped node is back after this time if it is restarted at once.
+    private static final long RESTART_MILLIS = 1_500;
+
     private static final long NO_UPSTREAM_RETRY_AFTER_MILLIS = 700;
     private static final long MINIMUM_RETRY_AFTER_MILLIS = 200;
 
@@ -66,8 +65,11 @@
     private final CrashingRequestDetector crashDetector;
     private final Supplier<Optional<FleetConfiguration>> configuration;
     private final Random random;
+    private final EntryResponses responses;
+    private final AttemptFactory attempts;
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
     private final long incarnation;
+    private StopAdmission stopAdmission = StopAdmission.OPEN;
     private long lastAttemptNumber;
     private final Set<PendingRequest> pendingRequests = new LinkedHashSet<>();
 
@@ -92,6 +94,8 @@
         crashDetector = context.crashDetector();
         random = context.random();
         incarnation = context.incarnation();
+        attempts = new AttemptFactory(settings);
+        responses = new EntryResponses(settings.headers().requestId());
         this.homeClient = homeClient;
         this.homeRegistry = homeRegistry;
         this.placement = placement;
@@ -108,6 +112,11 @@
         return pendingRequests.size();
     }
 
+    /** Takes only requests that the given decision allows, because the process is stopping. */
+    public void limitForStop(StopAdmission admission) {
+        stopAdmission = admission;
+    }
+
     /** Ends all requests that have no response yet as timed out, because the process ends before their deadlines. */
     public void timeOutAll() {
         List.copyOf(pendingRequests).forEach(this::timeOut);
@@ -133,7 +142,7 @@
             refuse(exchange, requestId, Reason.NO_ROUTE, 0, detail);
             return;
         }
-        long fingerprint = fingerprint(request);
+        long fingerprint = AttemptFactory.fingerprint(request);
         long now = control.nowMillis();
         if (crashDetector.mustRefuse(now, String.valueOf(fingerprint))) {
             refuse(exchange, requestId, Reason.CRASHING_REQUEST, 0, Long.toHexString(fingerprint));
@@ -150,6 +159,11 @@
                 .orElse(OptionalInt.empty());
         pending.fromRunningRequest = rankOfCaller.isPresent();
         pending.rank = rankOfCaller.orElse(route.get().rank());
+        if (stopAdmission != StopAdmission.OPEN && !stopAdmission.takes(now, shortestResponseMillis(pending))) {
+            long retryAfterMillis = stopAdmission.millisUntilEnd(now) + RESTART_MILLIS;
+            refuse(exchange, requestId, Reason.SHUTTING_DOWN, retryAfterMillis, "the node stops before the response");
+            return;
+        }
         pending.deadlineMillis = now - exchange.millisSinceReceived() + timeLeftMillis(request, route.get());
         pendingRequests.add(pending);
         retryBudget(pending).recordFirstAttempt();
@@ -210,7 +224,7 @@
                 .with("avoided", home.avoided())
                 .with("leftMillis", leftMillis)
                 .write();
-        Attempt attempt = buildAttempt(pending, attemptId, choice.lastResort(), leftMillis);
+        Attempt attempt = attempts.create(pending, attemptId, choice.lastResort(), leftMillis);
         pending.cancelAttempt = homeClient.attempt(homeId, attempt, result -> {
             homeRegistry.recordEnded(homeId);
             result.peek(answer -> handleAnswer(pending, homeId, answer))
@@ -218,35 +232,6 @@
         });
     }
 
-    private Attempt buildAttempt(PendingRequest pending, String attemptId, boolean lastResort, long leftMillis) {
-        HttpRequestData request = pending.exchange.request();
-        List<Header> forwardedHeaders = HttpHeader.endToEnd(request.headers()).stream()
-                .filter(header -> !settings.headers().isSetByEngine(header.name()))
-                .map(header -> Header.newBuilder()
-                        .setName(header.name())
-                        .setValue(header.value())
-                        .build())
-                .toList();
-        return Attempt.newBuilder()
-                .setAttemptId(attemptId)
-                .setRequestId(pending.requestId)
-                .setService(pending.service)
-                .setRank(pending.rank)
-                .setIdempotent(pending.route.idempotent())
-                .setLeftMillis((int) leftMillis)
-                .setMethod(request.method())
-                .setTarget(request.target())
-                .addAllHeaders(forwardedHeaders)
-                .setBody(ByteString.copyFrom(request.body()))
-                .setCallerService(settings.callerService())
-                .setLastResort(lastResort)
-                .setFingerprint(pending.fingerprint)
-                .setRoute(pending.route.name())
-                .setFromRunningRequest(pending.fromRunningRequest)
-                .setTargetMillis((int) pending.route.targetLatencyMillis())
-                .build();
-    }
-
     private void handleLinkFailure(PendingRequest pending, String homeId, String attemptId, PeerFailure failure) {
         log.event("home-unreachable")
                 .with("request", pending.requestId)
@@ -285,7 +270,7 @@
         Verdict verdict = Verdict.ofOrdinal(answer.getVerdict()).orElse(Verdict.MAY_HAVE_RUN);
         Reason reason = Reason.ofPeerLabel(answer.getReason());
         if (verdict == Verdict.RAN && reason == Reason.NONE) {
-            respond(pending, verdict, reason, toResponse(answer));
+            respond(pending, verdict, reason, EntryResponses.fromUpstream(answer));
             return;
         }
         if (verdict == Verdict.RAN) {
@@ -354,18 +339,25 @@
 
     private void giveUp(PendingRequest pending) {
         if (pending.errorAnswer != null) {
-            respond(pending, Verdict.RAN, Reason.SERVER_ERROR, toResponse(pending.errorAnswer));
+            respond(pending, Verdict.RAN, Reason.SERVER_ERROR, EntryResponses.fromUpstream(pending.errorAnswer));
         } else if (pending.verdictSoFar == Verdict.NOT_RUN) {
             respond(
                     pending,
                     Verdict.NOT_RUN,
                     pending.lastReason,
-                    errorResponse(pending.requestId, 503, retryAfterMillis(pending)));
+                    responses.error(pending.requestId, 503, retryAfterMillis(pending)));
         } else {
-            respond(pending, Verdict.MAY_HAVE_RUN, pending.lastReason, errorResponse(pending.requestId, 502, 0));
+            respond(pending, Verdict.MAY_HAVE_RUN, pending.lastReason, responses.error(pending.requestId, 502, 0));
         }
     }
 
+    private double shortestResponseMillis(PendingRequest pending) {
+        return homeRegistry.homes(pending.service, pending.rank, pending.fromRunningRequest).stream()
+                .mapToDouble(PlacementPolicy::expectedResponseMillis)
+                .min()
+                .orElse(0);
+    }
+
     private long retryAfterMillis(PendingRequest pending) {
         if (pending.lastReason == Reason.NO_UPSTREAM) {
             return NO_UPSTREAM_RETRY_AFTER_MILLIS;
@@ -391,7 +383,7 @@
             return;
         }
         Verdict verdict = neverSent ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
-        respond(pending, verdict, Reason.DEADLINE_PASSED, errorResponse(pending.requestId, 504, 0));
+        respond(pending, verdict, Reason.DEADLINE_PASSED, responses.error(pending.requestId, 504, 0));
     }
 
     private void handleDisconnect(PendingRequest pending) {
@@ -440,28 +432,7 @@
                 .with("path", exchange.request().path())
                 .with("detail", detail)
                 .write();
-        exchange.respond(errorResponse(requestId, reason.httpStatus(), retryAfterMillis));
-    }
-
-    private HttpResponseData errorResponse(String requestId, int status, long retryAfterMillis) {
-        java.util.stream.Stream<HttpHeader> retryAfter = retryAfterMillis > 0
-                ? java.util.stream.Stream.of(
-                        new HttpHeader("Retry-After", String.format(Locale.ROOT, "%.2f", retryAfterMillis / 1_000.0)))
-                : java.util.stream.Stream.empty();
-        List<HttpHeader> headers = java.util.stream.Stream.concat(
-                        java.util.stream.Stream.of(
-                                new HttpHeader(settings.headers().requestId(), requestId)),
-                        retryAfter)
-                .toList();
-        return new HttpResponseData(status, headers, new byte[0]);
-    }
-
-    private static HttpResponseData toResponse(Answer answer) {
-        List<HttpHeader> headers = answer.getHeadersList().stream()
-                .map(header -> new HttpHeader(header.getName(), header.getValue()))
-                .toList();
-        return new HttpResponseData(
-                answer.getStatus(), headers, answer.getBody().toByteArray());
+        exchange.respond(responses.error(requestId, reason.httpStatus(), retryAfterMillis));
     }
 
     private RetryBudget retryBudget(PendingRequest pending) {
@@ -469,15 +440,6 @@
                 pending.service, service -> new RetryBudget(settings.limits().retryShare(), RETRY_BUDGET_CAPACITY));
     }
 
-    private static long fingerprint(HttpRequestData request) {
-        String content = request.method()
-                + ' '
-                + request.target()
-                + ' '
-                + new String(request.body(), StandardCharsets.ISO_8859_1);
-        return RendezvousHashing.hash(content);
-    }
-
     /** Calls homes, on this node or on others. Callbacks run on the control thread. */
     public interface HomeClient {
         /** Returns the rank of a request that the local upstream is running; empty if it isn't running that request. */
