--- a/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
@@ -106,6 +106,10 @@
                 CallerLimits.DEFAULT);
     }
 
+    int callerPort(int index) {
+        return callerPorts.get(index);
+    }
+
     Engine engine(int index) {
         return engines.get(index);
     }
