--- a/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -170,6 +171,14 @@
         return link;
     }
 
+    // A lost node that opens a link runs again, whatever the table says of it yet.
+    private void probeLostNode(String nodeId) {
+        Optional<PeerAddress> lost = lostNodes.keySet().stream()
+                .filter(address -> address.nodeId().equals(nodeId))
+                .findFirst();
+        lost.ifPresent(this::probeIfLost);
+    }
+
     private void probe(PeerAddress address) {
         if (!closed && lostNodes.containsKey(address)) {
             linkTo(address);
@@ -290,6 +299,7 @@
 
         private void acceptHello(FrameChannel channel, Hello hello) {
             nodeId = hello.getNodeId();
+            probeLostNode(nodeId);
             if (hello.getProtocolVersion() != PROTOCOL_VERSION) {
                 log.event("peer-refused")
                         .with("peer", nodeId)
--- a/engine/src/test/java/org/sardineshunt/engine/EnginePeerFaultTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EnginePeerFaultTest.java
@@ -73,6 +73,30 @@
                 is(List.of()));
     }
 
+    /** The peer closes each link without a hello, so the pauses between probes grow to seconds. */
+    @Test
+    void probesALostPeerAtOnceWhenItOpensALink() throws Exception {
+        int ownPort = NodeRecord.parseFrom(fleet.table().value(TABLE, "node-0")).getPort();
+        try (ServerSocket peer = new ServerSocket(0, 10, InetAddress.getByName("127.0.0.1"))) {
+            fleet.table().put(TABLE, "odd", record(peer.getLocalPort()).toByteArray());
+            fleet.upstream(0).setHandler(exchange -> {});
+            IntStream.range(0, 8).forEach(request -> fleet.send(0, "GET", EngineFleet.LOOKUP_PATH, TIME_LEFT_MILLIS));
+            for (int probe = 0; probe < 6; probe++) {
+                peer.accept().close();
+            }
+            peer.setSoTimeout(1_500);
+            try (Socket link = new Socket("127.0.0.1", ownPort)) {
+                Hello hello = Hello.newBuilder()
+                        .setProtocolVersion(1)
+                        .setNodeId("odd")
+                        .setIncarnation(2)
+                        .build();
+                write(link, Frame.newBuilder().setHello(hello).build());
+                peer.accept().close();
+            }
+        }
+    }
+
     @Test
     void servesBesideFramesThatAreNoMessages() throws Exception {
         int port = NodeRecord.parseFrom(fleet.table().value(TABLE, "node-0")).getPort();
