Correct the expected wait by how waiting work fares

Cause: upstreams slow down while they are full, and the mean service time of finished work shows it too late, so an overloaded home admitted more than it could serve on time; the rest waited until it was late and was refused then. Change: each waiting work that turns late raises the expected wait of arriving work by 15%, up to three times; each that starts on time lowers it by 3%.

Played (AdmissionQueueSlowdownTest, 1.4 times slower while full): on time of what is served 60% -> 69% at twice the capacity, 60% -> 71% at three times; refused at once 81% -> 90% and 88% -> 94%. Without a slowdown nothing is lost at 0.8 and 1.0 of the capacity.

--- a/coordination/src/main/java/org/sardineshunt/coordination/limit/AdmissionQueue.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/limit/AdmissionQueue.java
@@ -53,6 +53,12 @@
     // later, so that more work is refused only after its target.
     private static final double ON_TIME_LOAD_WINDOW_MILLIS = 1_500;
 
+    // How much the expected wait of arriving work is corrected for each waiting work that turned late, and that started
+    // on time. Service times grow while an upstream is full, which the mean of finished work shows too late.
+    private static final double LATE_CORRECTION_FACTOR = 1.15;
+    private static final double ON_TIME_CORRECTION_FACTOR = 0.97;
+    private static final double MAXIMUM_WAIT_CORRECTION = 3;
+
     // Largest factor by which the load of on-time work prolongs the expected wait of late work.
     private static final double MAXIMUM_WAIT_GROWTH = 20;
 
@@ -65,6 +71,7 @@
     private int concurrencyLimit;
     private int inFlight;
     private double meanServiceMillis;
+    private double waitCorrection = 1;
     private final Map<String, OnTimeLoad> onTimeLoads = new LinkedHashMap<>();
 
     private AdmissionQueue(Builder<T> builder) {
@@ -151,9 +158,11 @@
      * while there is time; empty if it goes on waiting or isn't waiting.
      */
     public Optional<WorkItem<T>> removeIfExpectedToMissDeadline(long nowMillis, String id) {
-        return findWaiting(id)
+        Optional<WorkItem<T>> removed = findWaiting(id)
                 .filter(item -> isExpectedToMissDeadline(nowMillis, item, itemWaitMillis(nowMillis, item)))
                 .flatMap(item -> remove(id));
+        removed.ifPresent(item -> correctWait(false));
+        return removed;
     }
 
     /** Returns whether the work with this id waits. */
@@ -236,7 +245,7 @@
     }
 
     private boolean lacksSlack(long nowMillis, WorkItem<T> item) {
-        double waitMillis = itemWaitMillis(nowMillis, item);
+        double waitMillis = waitCorrection * itemWaitMillis(nowMillis, item);
         double slackMillis = item.deadlineMillis() - nowMillis;
         return waitMillis + expectedServiceMillis(item) > slackMillis
                 || !isExpectedOnTime(nowMillis, item, waitMillis)
@@ -288,10 +297,16 @@
             }
             inFlight++;
             started.add(next.get());
+            correctWait(isExpectedOnTime(nowMillis, next.get(), 0));
         }
         return started;
     }
 
+    private void correctWait(boolean onTime) {
+        double factor = onTime ? ON_TIME_CORRECTION_FACTOR : LATE_CORRECTION_FACTOR;
+        waitCorrection = Math.min(MAXIMUM_WAIT_CORRECTION, Math.max(1, waitCorrection * factor));
+    }
+
     private Optional<WorkItem<T>> takeNext(long nowMillis) {
         List<Rank> backlogged =
                 ranksInOrder().filter(rank -> hasStartableWork(rank, nowMillis)).toList();
