Take a status above 599 for a fault of the upstream

Cause, found by reading the diff: since answers of peers are validated, a home that passed on an odd status of its upstream would have lost the link to the entry, and with it the calls of others. Change: the home answers may-have-run (answer-crossed). Test: EngineOddInputTest, without the change the link is lost.

--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamHttpMapper.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamHttpMapper.java
@@ -22,6 +22,7 @@
 final class UpstreamHttpMapper {
     private static final int MISDIRECTED_REQUEST = 421;
     private static final int GATEWAY_TIMEOUT = 504;
+    private static final int MAXIMUM_STATUS = 599;
 
     // Callers take these statuses as a promise that the request has not run. Only a marked response gives it.
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 429, 503);
@@ -107,6 +108,10 @@
         if (NOT_RUN_STATUSES.contains(response.status())) {
             return failureAnswer(Verdict.MAY_HAVE_RUN, Reason.SERVER_ERROR, true);
         }
+        // Other nodes take an answer with such a status for a fault of the link.
+        if (response.status() > MAXIMUM_STATUS) {
+            return failureAnswer(Verdict.MAY_HAVE_RUN, Reason.ANSWER_CROSSED, true);
+        }
         boolean success = response.status() / 100 == 2;
         // An unsigned success does not come from the upstream, and the request may have run there all the same.
         if (success && response.header(headers.signature()).isEmpty()
--- a/engine/src/test/java/org/sardineshunt/engine/EngineOddInputTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineOddInputTest.java
@@ -88,6 +88,23 @@
         assertThat(lookup.header("X-Signature").isPresent(), is(false));
     }
 
+    /** Guards against closing the link to a home because its upstream sends a status that HTTP doesn't know. */
+    @Test
+    void treatsAnUnknownStatusAsAFaultOfTheUpstream() {
+        IntStream.range(0, NODES).forEach(index -> fleet.upstream(index).setHandler(exchange -> fleet.upstream(index)
+                .respond(exchange, 999, new HttpHeader("X-Signature", "signed"))));
+        List<Integer> statuses = IntStream.range(0, 6)
+                .map(request -> send("POST", EngineFleet.BOOKING_PATH).status())
+                .boxed()
+                .toList();
+        assertThat(statuses, is(List.of(502, 502, 502, 502, 502, 502)));
+        assertThat(
+                fleet.logLines().stream()
+                        .filter(line -> line.contains("peer-lost"))
+                        .toList(),
+                is(empty()));
+    }
+
     @Test
     void repeatsABookingWhoseMarkedResponseSaysThatItHasNotRun() {
         fleet.upstream(0)
