Keep the homes of each service ready instead of searching all nodes for each request

Cause: HomeRegistry walked, filtered and sorted all nodes of the fleet for each choice of a home, and twice for the baseline, so that the cost of a request grew with the nodes of other services. Change: NodeDirectory groups and sorts the homes once per change. The homes and their order stay the same; EngineTest and the other engine tests pass.

--- a/engine/src/main/java/org/sardineshunt/engine/caller/HomeRegistry.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/HomeRegistry.java
@@ -8,7 +8,6 @@
 import java.util.stream.Stream;
 
 import org.sardineshunt.coordination.TimerService;
-import org.sardineshunt.coordination.announcement.Announcement.Phase;
 import org.sardineshunt.coordination.health.Baseline;
 import org.sardineshunt.coordination.placement.HomeView;
 import org.sardineshunt.coordination.rotation.HealthCondition;
@@ -61,10 +60,8 @@
     public List<HomeView> homes(String service, int rank, boolean fromRunningRequest) {
         long now = timers.nowMillis();
         double medianServiceMillis = baseline(service).medianLatencyMillis();
-        return directory
-                .nodes()
-                .filter(node -> !node.stopping() && serves(node, service) && reachable.test(node.address()))
-                .sorted(java.util.Comparator.comparing(node -> node.address().nodeId()))
+        return directory.homes(service).stream()
+                .filter(node -> !node.stopping() && reachable.test(node.address()))
                 .map(node -> view(now, node, 2 * rank + (fromRunningRequest ? 0 : 1), medianServiceMillis))
                 .toList();
     }
@@ -124,9 +121,7 @@
     /** Returns the median failure share and latency of a service's upstreams, according to recent load reports. */
     public Baseline baseline(String service) {
         long now = timers.nowMillis();
-        List<Baseline.Sample> samples = directory
-                .nodes()
-                .filter(node -> serves(node, service))
+        List<Baseline.Sample> samples = directory.homes(service).stream()
                 .map(node -> stateByNodeId.get(node.address().nodeId()))
                 .filter(state -> state != null && state.load != null && state.load.getServiceMillis() > 0)
                 .filter(state -> now - state.reportedMillis < MAXIMUM_BASELINE_AGE_MILLIS)
@@ -183,13 +178,6 @@
         return count < 2 ? 0 : Math.max(0, load.getWaitMillis(Math.min(waitIndex, count - 2 + waitIndex % 2)));
     }
 
-    private static boolean serves(KnownNode node, String service) {
-        return node.upstream()
-                .filter(upstream -> upstream.phase() == Phase.READY)
-                .filter(upstream -> upstream.service().equals(service))
-                .isPresent();
-    }
-
     private HomeState stateOf(String nodeId) {
         return stateByNodeId.computeIfAbsent(nodeId, id -> new HomeState());
     }
--- a/engine/src/main/java/org/sardineshunt/engine/peer/NodeDirectory.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/NodeDirectory.java
@@ -43,6 +43,7 @@
     private final TableWatch watch;
     private final Map<String, KnownNode> nodes = new HashMap<>();
     private List<KnownNode> currentNodes = List.of();
+    private Map<String, List<KnownNode>> homesByService = Map.of();
     private KnownNode ownNode;
     private KnownNode storedOwnNode;
     private boolean firstReadDone;
@@ -80,6 +81,11 @@
         return currentNodes.stream();
     }
 
+    /** Returns the nodes whose upstream serves a service and is ready, sorted by node ID. */
+    public List<KnownNode> homes(String service) {
+        return homesByService.getOrDefault(service, List.of());
+    }
+
     /** Returns the node with the given ID, even if another node has taken over its address. */
     public Optional<KnownNode> node(String nodeId) {
         return Optional.ofNullable(nodes.get(nodeId));
@@ -184,6 +190,14 @@
                         node -> node,
                         BinaryOperator.maxBy(Comparator.comparingLong(KnownNode::incarnation))))
                 .values());
+        // Kept by service, so that the cost of a request doesn't grow with the nodes of other services.
+        homesByService = currentNodes.stream()
+                .filter(node -> node.upstream()
+                        .filter(upstream -> upstream.phase() == Phase.READY)
+                        .isPresent())
+                .sorted(Comparator.comparing(node -> node.address().nodeId()))
+                .collect(Collectors.groupingBy(
+                        node -> node.upstream().orElseThrow().service()));
     }
 
     private void putNode(KnownNode node, long rowVersion) {
