--- a/engine/src/main/java/org/sardineshunt/engine/peer/NodeDirectory.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/NodeDirectory.java
@@ -28,11 +28,7 @@
  */
 public final class NodeDirectory {
     private static final String TABLE = "sardineshunt-nodes";
-
-    // Calls of the table are scarce, and in a restart of many nodes each change is a call of every node. What is urgent
-    // in a row, a stop or the phase of an upstream, also reaches the others over the peer links.
-    private static final long CHANGE_PAUSE_MILLIS = 2_500;
-
+    private static final long CHANGE_PAUSE_MILLIS = 1_000;
     private static final long WRITE_RETRY_MILLIS = 400;
 
     private final ControlEventLoop control;
