--- a/review/3/ForgottenLeave.java
+++ b/review/3/ForgottenLeave.java
@@ -80,7 +80,7 @@
         harness.note("lost at the exit: "
                 + lost.stream().map(reply -> reply.requestId() + ' ' + reply.status()).collect(Collectors.joining(", ")));
         if (!acknowledged) {
-            Harness.finish(harness, false, "the leave was not acknowledged");
+            throw new IllegalStateException("the leave was not acknowledged");
         }
         Harness.finish(harness, !late.isEmpty(), late.size() + " requests reached the upstream more than "
                 + Harness.DRAIN_MILLIS + " ms after the acknowledged leave, the last one "
--- a/review/harness/Harness.java
+++ b/review/harness/Harness.java
@@ -25,7 +25,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.UnaryOperator;
 
@@ -195,7 +194,7 @@
         void signal(String signal) throws IOException, InterruptedException {
             Process target = process;
             note("SIG" + signal + " to " + name);
-            new ProcessBuilder("kill", "-" + signal, String.valueOf(target.pid())).start().waitFor();
+            new ProcessBuilder("sh", "-c", "kill -" + signal + ' ' + target.pid()).start().waitFor();
         }
 
         boolean isReady() {
@@ -424,7 +423,7 @@
                 InputStream in = new BufferedInputStream(connection.getInputStream());
                 OutputStream out = connection.getOutputStream();
                 while (!ended) {
-                    Message request = Message.read(in, false);
+                    Message request = Message.read(in);
                     if (request == null) {
                         return;
                     }
@@ -496,7 +495,7 @@
             bytes.writeBytes(body);
             out.write(bytes.toByteArray());
             out.flush();
-            Message answer = Message.read(new BufferedInputStream(socket.getInputStream()), true);
+            Message answer = Message.read(new BufferedInputStream(socket.getInputStream()));
             if (answer == null) {
                 throw new IOException("the connection ended without an answer");
             }
@@ -540,7 +539,7 @@
         }
 
         /** Reads a message with a length; null if the connection ends before its first byte. */
-        static Message read(InputStream in, boolean interimAllowed) throws IOException {
+        static Message read(InputStream in) throws IOException {
             String startLine = readLine(in);
             if (startLine == null) {
                 return null;
@@ -644,7 +643,7 @@
             try (connection) {
                 InputStream in = new BufferedInputStream(connection.getInputStream());
                 OutputStream out = connection.getOutputStream();
-                for (Message call = Message.read(in, false); call != null; call = Message.read(in, false)) {
+                for (Message call = Message.read(in); call != null; call = Message.read(in)) {
                     String answer = translation.apply(answer(call));
                     int status = Integer.parseInt(answer.substring(0, 3));
                     byte[] body = answer.substring(4).getBytes(StandardCharsets.UTF_8);
@@ -783,8 +782,4 @@
         }
         Runtime.getRuntime().halt(2);
     }
-
-    static void await(long millis) throws InterruptedException {
-        TimeUnit.MILLISECONDS.sleep(millis);
-    }
 }
