--- a/review/5/GarbledStatus.java
+++ b/review/5/GarbledStatus.java
@@ -84,7 +84,7 @@
             Harness harness, Harness.Message request, OutputStream out, boolean spoil, Set<String> spoiled)
             throws IOException, InterruptedException {
         Thread.sleep(WORK_MILLIS);
-        String id = request.header("X-Attempt-Id");
+        String id = request.requestId();
         byte[] sound = Harness.soundAnswer(request, "done " + id);
         if (!spoil) {
             out.write(sound);
--- a/review/harness/Harness.java
+++ b/review/harness/Harness.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Properties;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -36,6 +37,9 @@
     static final int GRACE_SECONDS = 6;
     static final int DRAIN_MILLIS = 2_000;
     static final int STABILITY_WINDOW_MILLIS = 3_000;
+    private static final Properties WIRE = readWire();
+    private static final String REQUEST_ID = wire("header.requestId");
+    private static final String SIGNATURE = wire("header.signature");
     private static final int HEARTBEAT_MILLIS = 1_500;
     static final int PEER_PORT = 7620;
     private static final int INBOUND_PORT = 8300;
@@ -73,6 +77,20 @@
         note("trouble " + trouble);
     }
 
+    private static Properties readWire() {
+        Properties names = new Properties();
+        try (var reader = Files.newBufferedReader(Path.of("review/harness/wire.properties"))) {
+            names.load(reader);
+        } catch (IOException failure) {
+            throw new java.io.UncheckedIOException(failure);
+        }
+        return names;
+    }
+
+    private static String wire(String name) {
+        return WIRE.getProperty(name);
+    }
+
     long now() {
         return (System.nanoTime() - startNanos) / 1_000_000;
     }
@@ -229,7 +247,7 @@
                 try {
                     Message answer = exchange(
                             new InetSocketAddress(host, READY_PORT),
-                            "GET /v1/readiness HTTP/1.1\r\nHost: ready\r\n\r\n",
+                            "GET " + wire("call.readiness") + " HTTP/1.1\r\nHost: ready\r\n\r\n",
                             new byte[0],
                             1_000);
                     answered = answer.status() == 200;
@@ -304,8 +322,8 @@
     /** A sound answer to a request: echoes the id, signed, with a length. */
     static byte[] soundAnswer(Message request, String body) {
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-        String head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + request.header("X-Attempt-Id")
-                + "\r\nX-Response-Signature: 3e1b.07.5a2." + bytes.length + ".0.c9f2a4d1\r\nContent-Length: "
+        String head = "HTTP/1.1 200 OK\r\n" + REQUEST_ID + ": " + request.requestId()
+                + "\r\n" + SIGNATURE + ": 3e1b.07.5a2." + bytes.length + ".0.c9f2a4d1\r\nContent-Length: "
                 + bytes.length + "\r\n\r\n";
         return (head + body).getBytes(StandardCharsets.UTF_8);
     }
@@ -314,7 +332,7 @@
     static Behaviour working(long millis) {
         return (request, out, connection) -> {
             Thread.sleep(millis);
-            out.write(soundAnswer(request, "done " + request.header("X-Attempt-Id")));
+            out.write(soundAnswer(request, "done " + request.requestId()));
             out.flush();
         };
     }
@@ -349,7 +367,7 @@
         /** Sends the leave call; returns whether it was acknowledged within a second. */
         boolean leave() {
             announces = false;
-            String target = "/v1/rpc?call=instances.leave&of=" + id;
+            String target = wire("call.leave") + id;
             boolean acknowledged = call(target, "{\"born\":" + born + "}");
             note("upstream " + id + " leaves, acknowledged: " + acknowledged);
             return acknowledged;
@@ -386,7 +404,7 @@
         /** Sends a check-in with a sequence number; returns whether it was acknowledged. */
         boolean checkIn(int number) {
             return call(
-                    "/v1/rpc?call=instances.heartbeat&of=" + id,
+                    wire("call.announce") + id,
                     "{\"address\":\"" + node.host + ':' + UPSTREAM_PORT + "\",\"born\":" + born
                             + ",\"information\":{\"service\":\"" + node.service
                             + "\",\"version\":\"v1\",\"zone\":\"" + node.zone + "\",\"slots\":" + slots
@@ -427,10 +445,10 @@
                     if (request == null) {
                         return;
                     }
-                    String expected = request.header("X-Expected-Instance");
+                    String expected = request.header(wire("header.expectedUpstream"));
                     if (!expected.isEmpty() && !expected.equals(id)) {
-                        out.write(("HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: "
-                                        + request.header("X-Attempt-Id") + "\r\nX-Instance-Id: " + id
+                        out.write(("HTTP/1.1 421 Misdirected Request\r\n" + REQUEST_ID + ": "
+                                        + request.requestId() + "\r\n" + wire("header.upstreamId") + ": " + id
                                         + "\r\nContent-Length: 0\r\n\r\n")
                                 .getBytes(StandardCharsets.UTF_8));
                         out.flush();
@@ -438,8 +456,8 @@
                     }
                     free.acquire();
                     try {
-                        runs.add(new Run(now(), request.header("X-Attempt-Id"), id, request.path()));
-                        note("upstream " + id + " runs " + request.header("X-Attempt-Id"));
+                        runs.add(new Run(now(), request.requestId(), id, request.path()));
+                        note("upstream " + id + " runs " + request.requestId());
                         behaviour.run(request, out, connection);
                     } finally {
                         free.release();
@@ -470,8 +488,8 @@
         note("client sends " + id + ' ' + method + ' ' + path + " to " + node.name);
         Reply reply;
         try {
-            String head = method + ' ' + path + " HTTP/1.1\r\nHost: " + host + "\r\nX-Attempt-Id: " + id
-                    + "\r\nX-Deadline-Remaining: " + deadlineMillis + "\r\nContent-Length: " + body.length
+            String head = method + ' ' + path + " HTTP/1.1\r\nHost: " + host + "\r\n" + REQUEST_ID + ": " + id
+                    + "\r\n" + wire("header.timeLeft") + ": " + deadlineMillis + "\r\nContent-Length: " + body.length
                     + "\r\n\r\n";
             Message answer = exchange(node.outbound(), head, body, deadlineMillis);
             reply = new Reply(id, method, sent, now(), answer.status(), answer.startLine, answer);
@@ -526,6 +544,10 @@
             return headers.getOrDefault(name.toLowerCase(Locale.ROOT), "");
         }
 
+        String requestId() {
+            return header(REQUEST_ID);
+        }
+
         String path() {
             return startLine.split(" ")[1];
         }
@@ -673,12 +695,15 @@
                             StandardCharsets.UTF_8));
                 }
             }
-            return switch (path) {
-                case "/v1/rows-get" -> get(query);
-                case "/v1/rows-feed" -> feed(query);
-                case "/v1/rows-tx" -> transact(new String(call.body, StandardCharsets.UTF_8));
-                default -> "404 {}";
-            };
+            if (path.equals(wire("call.readRows"))) {
+                return get(query);
+            }
+            if (path.equals(wire("call.followRows"))) {
+                return feed(query);
+            }
+            return path.equals(wire("call.changeRows"))
+                    ? transact(new String(call.body, StandardCharsets.UTF_8))
+                    : "404 {}";
         }
 
         private synchronized String get(Map<String, String> query) {
