Keep the reachability of the upstream in a class of its own

Whether the upstream can be sent requests, by refused connections and refusals for another upstream, depends on nothing else there, so it moves to UpstreamReachability.

--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
@@ -39,9 +39,6 @@
     private static final long ANSWER_RETENTION_MILLIS = 5_000;
     private static final long MAXIMUM_IDLE_MILLIS = 4_000;
 
-    // The pause after a refused connection doubles, so that an upstream that is down is not tried every 400 ms.
-    private static final long FIRST_PAUSE_MILLIS = 400;
-    private static final long MAXIMUM_PAUSE_MILLIS = 6_400;
     private static final long EXPIRY_PERIOD_MILLIS = 1_000;
     private static final long LATE_RECHECK_MILLIS = 400;
 
@@ -58,6 +55,7 @@
     private final HttpClient client;
     private final UpstreamHttpMapper httpMapper;
     private final UpstreamMonitor monitor;
+    private final UpstreamReachability reachability;
     private final Listener listener;
     private final CrashingRequestDetector crashDetector;
     private final AnnouncementTracker announcements = new AnnouncementTracker();
@@ -67,9 +65,6 @@
     private final long incarnation;
     private AdmissionQueue<PendingAttempt> queue = UpstreamQueue.create();
     private String upstreamId = "";
-    private String misdirectedUpstreamId = "";
-    private long pausedUntilMillis = Long.MIN_VALUE;
-    private long pauseMillis = FIRST_PAUSE_MILLIS;
     private long loadSequence;
     private boolean stopping;
     private boolean expiryScheduled;
@@ -85,6 +80,8 @@
         this.client = client;
         this.listener = listener;
         monitor = new UpstreamMonitor(context, baselines, listener);
+        reachability =
+                new UpstreamReachability(control, log, this::handleRefusedConnection, listener::availabilityChanged);
         httpMapper = new UpstreamHttpMapper(settings.headers());
     }
 
@@ -235,10 +232,7 @@
                 .orElse(true);
         boolean phaseChanged =
                 previous.map(old -> old.phase() != current.phase()).orElse(true);
-        // An upstream that announces itself can be reached, and no other upstream has its address.
-        pausedUntilMillis = Long.MIN_VALUE;
-        pauseMillis = FIRST_PAUSE_MILLIS;
-        misdirectedUpstreamId = "";
+        reachability.handleAnnouncement();
         if (newStart) {
             handleNewStart(current);
         }
@@ -301,8 +295,7 @@
 
     private boolean isAccepting(long now) {
         return !stopping
-                && now >= pausedUntilMillis
-                && !misdirectedUpstreamId.equals(upstreamId)
+                && reachability.isReachable(now)
                 && announcements
                         .current()
                         .map(current -> current.phase() == Phase.READY)
@@ -343,7 +336,7 @@
         rankByRunningRequest.remove(attempt.getRequestId());
         // An outcome of an earlier start of the upstream says nothing about the current one.
         if (pending.upstreamId().equals(upstreamId)) {
-            recordReachability(outcome);
+            reachability.recordOutcome(upstreamId, outcome);
             monitor.recordOutcome(pending, outcome, success, durationMillis);
         }
         pendingAttempts.remove(id);
@@ -378,28 +371,7 @@
         listener.loadChanged();
     }
 
-    private void recordReachability(HttpOutcome outcome) {
-        if (UpstreamHttpMapper.isMisdirected(outcome)) {
-            misdirectedUpstreamId = upstreamId;
-        } else if (outcome instanceof HttpOutcome.Failed failed && failed.kind() == HttpOutcome.FailureKind.CONNECT) {
-            pauseSending();
-        } else {
-            pauseMillis = FIRST_PAUSE_MILLIS;
-        }
-    }
-
-    private void pauseSending() {
-        long now = control.nowMillis();
-        if (now < pausedUntilMillis) {
-            return;
-        }
-        pausedUntilMillis = now + pauseMillis;
-        control.after(pauseMillis + 1, listener::availabilityChanged);
-        log.event("upstream-refuses-connections")
-                .with("upstream", upstreamId)
-                .with("pauseMillis", pauseMillis)
-                .write();
-        pauseMillis = Math.min(MAXIMUM_PAUSE_MILLIS, pauseMillis * 2);
+    private void handleRefusedConnection() {
         refuseAllWaiting(Reason.BACKEND_SERVER_REFUSED);
         listener.availabilityChanged();
     }
