Never report a booking that ran as not run after a freeze

Callers saw: their bookings ran twice (TWICE) after the node that had taken them stood still for 6.4 s; some got 503 for a booking that had run (REFUSED).

Cause: after the freeze the entry's silence timer ran before the answers that waited in its sockets were read, so it closed the links. It then asked the homes, which had dropped the finished attempts after 5 s and took "unknown here" for "never arrived".

Change: a late check follows a pause of the process, and SilenceDetector then measures the silence anew, once for each silence. Attempts are numbered by the entry's process; a home keeps the highest forgotten number of each for good and answers may-have-run up to it. Above it, all that ever arrived is known, so not-run is proved. The project's own node had both faults and uses the same code. Homes log attempt-inquired with the state that they answered.

--- a/coordination/src/test/java/org/sardineshunt/coordination/idempotency/AttemptRegistryTest.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/idempotency/AttemptRegistryTest.java
@@ -16,46 +16,61 @@
 import static org.hamcrest.Matchers.is;
 
 class AttemptRegistryTest {
+    private static final AttemptId ID = new AttemptId("entry", 7, 5);
+
     private final AttemptRegistry<String> registry = new AttemptRegistry<>(1_000);
 
     @Test
     void abandonedAttemptThatArrivesLaterNeverStarts() {
-        assertThat(registry.abandon(0, "a", 500).state(), is(State.ABANDONED));
+        assertThat(registry.abandon(0, ID, 500).state(), is(State.ABANDONED));
 
-        assertThat(registry.recordArrival("a"), is(Arrival.ABANDONED));
-        assertThat(registry.tryStart("a"), is(false));
+        assertThat(registry.recordArrival(ID), is(Arrival.ABANDONED));
+        assertThat(registry.tryStart(ID), is(false));
     }
 
     @Test
     void waitingAttemptThatIsAbandonedNeverStarts() {
-        registry.recordArrival("a");
-        registry.abandon(0, "a", 500);
+        registry.recordArrival(ID);
+        registry.abandon(0, ID, 500);
 
-        assertThat(registry.tryStart("a"), is(false));
+        assertThat(registry.tryStart(ID), is(false));
     }
 
     @Test
     void runningAttemptCannotBeAbandoned() {
-        registry.recordArrival("a");
-        registry.tryStart("a");
+        registry.recordArrival(ID);
+        registry.tryStart(ID);
 
-        assertThat(registry.abandon(0, "a", 500).state(), is(State.RUNNING));
+        assertThat(registry.abandon(0, ID, 500).state(), is(State.RUNNING));
     }
 
     @Test
     void finishedAttemptReturnsItsAnswer() {
-        registry.recordArrival("a");
-        registry.tryStart("a");
-        registry.finish(0, "a", "answer");
+        registry.recordArrival(ID);
+        registry.tryStart(ID);
+        registry.finish(0, ID, "answer");
 
-        assertThat(registry.abandon(10, "a", 500).answer(), is("answer"));
+        assertThat(registry.abandon(10, ID, 500).answer(), is("answer"));
     }
 
     @Test
     void secondArrivalOfAnAttemptIsADuplicate() {
-        registry.recordArrival("a");
+        registry.recordArrival(ID);
+
+        assertThat(registry.recordArrival(ID), is(Arrival.DUPLICATE));
+    }
+
+    /** Guards against a second run: the entry asked after the home had forgotten that the attempt had run. */
+    @Test
+    void finishedAttemptIsNeverReportedAsNotRun() {
+        registry.recordArrival(ID);
+        registry.tryStart(ID);
+        registry.finish(0, ID, "answer");
+        registry.expire(1_000);
 
-        assertThat(registry.recordArrival("a"), is(Arrival.DUPLICATE));
+        assertThat(registry.abandon(1_000, ID, 500).state(), is(State.FORGOTTEN));
+        registry.expire(1_000_000_000);
+        assertThat(registry.abandon(1_000_000_000, ID, 500).state(), is(State.FORGOTTEN));
     }
 
     @Property(seed = "20261204", tries = 500)
@@ -63,10 +78,10 @@
             @ForAll @Size(max = 60) List<@IntRange(min = 0, max = 59) Integer> steps) {
         // Each step is one of four operations (step / 15) on one of five attempts (step % 5).
         AttemptRegistry<String> tested = new AttemptRegistry<>(1_000_000);
-        Set<String> reportedNotRun = new HashSet<>();
-        Set<String> started = new HashSet<>();
+        Set<AttemptId> reportedNotRun = new HashSet<>();
+        Set<AttemptId> started = new HashSet<>();
         for (int step : steps) {
-            String id = "a" + step % 5;
+            AttemptId id = new AttemptId("entry", 7, step % 5);
             switch (step / 15) {
                 case 0 -> tested.recordArrival(id);
                 case 1 -> {
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
@@ -13,6 +13,7 @@
 import org.sardineshunt.coordination.announcement.Announcement;
 import org.sardineshunt.coordination.announcement.Announcement.Phase;
 import org.sardineshunt.coordination.announcement.AnnouncementTracker;
+import org.sardineshunt.coordination.idempotency.AttemptId;
 import org.sardineshunt.coordination.idempotency.AttemptRegistry;
 import org.sardineshunt.coordination.idempotency.CrashingRequestDetector;
 import org.sardineshunt.coordination.limit.AdmissionQueue;
@@ -60,7 +61,7 @@
     private final CrashingRequestDetector crashDetector;
     private final AnnouncementTracker announcements = new AnnouncementTracker();
     private final AttemptRegistry<Answer> attemptRegistry = new AttemptRegistry<>(ANSWER_RETENTION_MILLIS);
-    private final Map<String, PendingAttempt> pendingAttempts = new HashMap<>();
+    private final Map<AttemptId, PendingAttempt> pendingAttempts = new HashMap<>();
     private final Map<String, Integer> rankByRunningRequest = new HashMap<>();
     private final long incarnation;
     private AdmissionQueue<PendingAttempt> queue = UpstreamQueue.create();
@@ -143,12 +144,17 @@
      */
     public Runnable attempt(Attempt attempt, Consumer<Answer> onAnswer) {
         long now = control.nowMillis();
-        String id = attempt.getAttemptId();
+        Optional<AttemptId> parsedId = AttemptId.parse(attempt.getAttemptId());
+        if (parsedId.isEmpty()) {
+            onAnswer.accept(refusalAnswer(Reason.MALFORMED_REQUEST));
+            return () -> {};
+        }
+        AttemptId id = parsedId.get();
         if (attemptRegistry.recordArrival(id) != AttemptRegistry.Arrival.ACCEPTED) {
-            onAnswer.accept(refusalAnswer(attempt, Reason.DUPLICATE_ATTEMPT));
+            onAnswer.accept(refusalAnswer(Reason.DUPLICATE_ATTEMPT));
             return () -> {};
         }
-        PendingAttempt pending = new PendingAttempt(attempt, now, onAnswer);
+        PendingAttempt pending = new PendingAttempt(attempt, id, now, onAnswer);
         pendingAttempts.put(id, pending);
         scheduleExpiry();
         Optional<Reason> refusalReason = findRefusalReason(now, attempt);
@@ -184,21 +190,25 @@
      */
     public void inquire(Inquiry inquiry, Consumer<Answer> onAnswer) {
         long now = control.nowMillis();
-        String id = inquiry.getAttemptId();
+        Optional<AttemptId> parsedId = AttemptId.parse(inquiry.getAttemptId());
         // The attempt was sent to an earlier process, whose attempts this one doesn't know.
-        if (inquiry.getHomeIncarnation() != incarnation) {
-            onAnswer.accept(UpstreamHttpMapper.failureAnswer(Verdict.MAY_HAVE_RUN, Reason.LINK_LOST, true)
-                    .build());
+        if (parsedId.isEmpty() || inquiry.getHomeIncarnation() != incarnation) {
+            onAnswer.accept(unknownOutcome());
             return;
         }
+        AttemptId id = parsedId.get();
         AttemptRegistry.Abandonment<Answer> abandonment =
                 attemptRegistry.abandon(now, id, inquiry.getLeftMillis() + ANSWER_RETENTION_MILLIS);
+        log.event("attempt-inquired")
+                .with("attempt", inquiry.getAttemptId())
+                .with("state", abandonment.state().name())
+                .write();
         switch (abandonment.state()) {
             case FINISHED -> onAnswer.accept(abandonment.answer());
             case RUNNING -> pendingAttempts.get(id).addListener(onAnswer);
+            case FORGOTTEN -> onAnswer.accept(unknownOutcome());
             default -> {
-                queue.remove(id);
-                pendingAttempts.remove(id);
+                Optional.ofNullable(pendingAttempts.remove(id)).ifPresent(waiting -> queue.remove(waiting.queueId()));
                 onAnswer.accept(UpstreamHttpMapper.failureAnswer(Verdict.NOT_RUN, Reason.ABANDONED, false)
                         .setLoad(createLoadReport())
                         .build());
@@ -311,8 +321,7 @@
     private void start(PendingAttempt pending) {
         long now = control.nowMillis();
         Attempt attempt = pending.attempt();
-        String id = attempt.getAttemptId();
-        attemptRegistry.tryStart(id);
+        attemptRegistry.tryStart(pending.id());
         rankByRunningRequest.put(attempt.getRequestId(), attempt.getRank());
         long leftMillis = pending.arrivedMillis() + attempt.getLeftMillis() - now;
         pending.markStarted(
@@ -329,7 +338,7 @@
     private void finish(PendingAttempt pending, HttpOutcome outcome) {
         long now = control.nowMillis();
         Attempt attempt = pending.attempt();
-        String id = attempt.getAttemptId();
+        AttemptId id = pending.id();
         long durationMillis = now - pending.startedMillis();
         Answer.Builder builder = httpMapper.toAnswer(outcome);
         boolean success = builder.getVerdict() == Verdict.RAN.ordinal() && builder.getStatus() < 500;
@@ -357,7 +366,7 @@
         if (!success) {
             log.event("attempt-failed")
                     .with("request", attempt.getRequestId())
-                    .with("attempt", id)
+                    .with("attempt", id.toString())
                     .with("upstream", pending.upstreamId())
                     .with("reason", answer.getReason())
                     .with("verdict", Verdict.values()[answer.getVerdict()].label())
@@ -376,12 +385,12 @@
         listener.availabilityChanged();
     }
 
-    private void cancel(String id) {
+    private void cancel(AttemptId id) {
         PendingAttempt pending = pendingAttempts.get(id);
         if (pending == null) {
             return;
         }
-        if (queue.remove(id).isPresent()) {
+        if (queue.remove(pending.queueId()).isPresent()) {
             refuse(pending, Reason.ABANDONED);
         } else if (pending.attempt().getIdempotent()) {
             pending.cancel();
@@ -390,7 +399,7 @@
 
     // Refuses a late attempt that is expected to miss its deadline, so that its entry can try elsewhere in time.
     private void recheckLateAttempt(PendingAttempt pending) {
-        String id = pending.attempt().getAttemptId();
+        String id = pending.queueId();
         queue.removeIfExpectedToMissDeadline(control.nowMillis(), id)
                 .ifPresent(removed -> refuse(pending, Reason.DEADLINE_SLACK));
         if (queue.isWaiting(id)) {
@@ -399,7 +408,7 @@
     }
 
     private void refuseIfWaiting(PendingAttempt pending) {
-        if (queue.remove(pending.attempt().getAttemptId()).isPresent()) {
+        if (queue.remove(pending.queueId()).isPresent()) {
             refuse(pending, Reason.DEADLINE_SLACK);
         }
     }
@@ -413,13 +422,12 @@
     }
 
     private void refuse(PendingAttempt pending, Reason reason) {
-        String id = pending.attempt().getAttemptId();
-        attemptRegistry.refuse(control.nowMillis(), id);
-        pendingAttempts.remove(id);
+        attemptRegistry.refuse(control.nowMillis(), pending.id());
+        pendingAttempts.remove(pending.id());
         metrics.count("home_refusals", reason.label());
         log.event("attempt-refused")
                 .with("request", pending.attempt().getRequestId())
-                .with("attempt", id)
+                .with("attempt", pending.id().toString())
                 .with("upstream", upstreamId)
                 .with("reason", reason.label())
                 .with("inFlight", queue.inFlight())
@@ -427,10 +435,15 @@
                 .with("serviceMillis", (long) monitor.lengthBiasedServiceMillis())
                 .with("leftMillis", pending.attempt().getLeftMillis())
                 .write();
-        pending.complete(refusalAnswer(pending.attempt(), reason));
+        pending.complete(refusalAnswer(reason));
+    }
+
+    private static Answer unknownOutcome() {
+        return UpstreamHttpMapper.failureAnswer(Verdict.MAY_HAVE_RUN, Reason.LINK_LOST, true)
+                .build();
     }
 
-    private Answer refusalAnswer(Attempt attempt, Reason reason) {
+    private Answer refusalAnswer(Reason reason) {
         return UpstreamHttpMapper.failureAnswer(Verdict.NOT_RUN, reason, false)
                 .setLoad(createLoadReport())
                 .build();
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/PendingAttempt.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/PendingAttempt.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 
+import org.sardineshunt.coordination.idempotency.AttemptId;
 import org.sardineshunt.engine.http.HttpClient;
 import org.sardineshunt.engine.protocol.EngineMessages.Answer;
 import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
@@ -11,6 +12,7 @@
 /** An attempt that waits for a slot or runs at this home. Confined to the control thread. */
 final class PendingAttempt {
     private final Attempt attempt;
+    private final AttemptId id;
     private final long arrivedMillis;
     private final List<Consumer<Answer>> listeners = new ArrayList<>();
     private HttpClient.Call call;
@@ -19,8 +21,9 @@
     private boolean overdue;
     private boolean completed;
 
-    PendingAttempt(Attempt attempt, long arrivedMillis, Consumer<Answer> listener) {
+    PendingAttempt(Attempt attempt, AttemptId id, long arrivedMillis, Consumer<Answer> listener) {
         this.attempt = attempt;
+        this.id = id;
         this.arrivedMillis = arrivedMillis;
         listeners.add(listener);
     }
@@ -29,6 +32,15 @@
         return attempt;
     }
 
+    AttemptId id() {
+        return id;
+    }
+
+    /** Returns the id of the attempt's item in the queue. */
+    String queueId() {
+        return attempt.getAttemptId();
+    }
+
     long arrivedMillis() {
         return arrivedMillis;
     }
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamQueue.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamQueue.java
@@ -66,7 +66,7 @@
         long dueMillis =
                 targetMillis == 0 ? deadlineMillis : Math.min(deadlineMillis, pending.arrivedMillis() + targetMillis);
         return new WorkItem<>(
-                attempt.getAttemptId(),
+                pending.queueId(),
                 rankName(attempt.getRank(), attempt.getFromRunningRequest()),
                 deadlineMillis,
                 dueMillis,
--- a/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
@@ -13,6 +13,7 @@
 import io.vavr.control.Either;
 import org.sardineshunt.coordination.Reason;
 import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.coordination.idempotency.AttemptId;
 import org.sardineshunt.coordination.idempotency.CrashingRequestDetector;
 import org.sardineshunt.coordination.limit.StopAdmission;
 import org.sardineshunt.coordination.placement.HomeView;
@@ -207,7 +208,7 @@
     private void sendAttempt(PendingRequest pending, PlacementPolicy.Choice choice, long leftMillis) {
         HomeView home = choice.home();
         String homeId = home.nodeId();
-        String attemptId = settings.nodeId() + '/' + incarnation + '/' + ++lastAttemptNumber;
+        String attemptId = new AttemptId(settings.nodeId(), incarnation, ++lastAttemptNumber).toString();
         pending.triedHomes.add(homeId);
         pending.lastHomeId = homeId;
         pending.sentAttempts++;
--- a/engine/src/main/java/org/sardineshunt/engine/peer/PeerLink.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/PeerLink.java
@@ -9,6 +9,7 @@
 
 import io.vavr.control.Either;
 import org.sardineshunt.coordination.TimerService;
+import org.sardineshunt.coordination.membership.SilenceDetector;
 import org.sardineshunt.engine.protocol.EngineMessages.Answer;
 import org.sardineshunt.engine.protocol.EngineMessages.Cancel;
 import org.sardineshunt.engine.protocol.EngineMessages.Frame;
@@ -19,7 +20,8 @@
  * The client side of a connection to a peer. Confined to the control thread.
  *
  * <p>While calls are pending and no frame arrives, the link sends pings; if it stays silent it is closed and the calls
- * fail.
+ * fail. After a pause of this process the silence is measured anew, because frames that arrived meanwhile are read only
+ * after the timers that fell due.
  */
 final class PeerLink implements FrameChannel.Listener {
     private static final long PING_AFTER_SILENCE_MILLIS = 300;
@@ -29,6 +31,7 @@
     private final Hello ownHello;
     private final TimerService timers;
     private final Listener listener;
+    private final SilenceDetector silence;
     private final Map<Long, PendingCall> pendingCalls = new HashMap<>();
     private final List<Frame> queuedFrames = new ArrayList<>();
     private FrameChannel channel;
@@ -36,14 +39,13 @@
     private boolean silenceCheckScheduled;
     private long incarnation;
     private long lastCorrelation;
-    private long lastReceivedMillis;
 
     PeerLink(PeerAddress address, Hello ownHello, TimerService timers, Listener listener) {
         this.address = address;
         this.ownHello = ownHello;
         this.timers = timers;
         this.listener = listener;
-        lastReceivedMillis = timers.nowMillis();
+        silence = new SilenceDetector(MAXIMUM_SILENCE_MILLIS, PING_AFTER_SILENCE_MILLIS, timers.nowMillis());
     }
 
     PeerAddress address() {
@@ -63,7 +65,7 @@
     Runnable call(Frame.Builder message, Consumer<Either<PeerFailure, Answer>> onResult) {
         long correlation = ++lastCorrelation;
         if (pendingCalls.isEmpty()) {
-            lastReceivedMillis = timers.nowMillis();
+            silence.restart(timers.nowMillis());
         }
         pendingCalls.put(correlation, new PendingCall(onResult, channel != null));
         send(message.setCorrelation(correlation).build());
@@ -105,7 +107,7 @@
             return;
         }
         channel = openedChannel;
-        lastReceivedMillis = timers.nowMillis();
+        silence.recordReceived(timers.nowMillis());
         channel.send(Frame.newBuilder().setHello(ownHello).build());
         queuedFrames.forEach(channel::send);
         queuedFrames.clear();
@@ -114,7 +116,7 @@
 
     @Override
     public void received(FrameChannel source, Frame frame) {
-        lastReceivedMillis = timers.nowMillis();
+        silence.recordReceived(timers.nowMillis());
         if (frame.hasHello()) {
             incarnation = frame.getHello().getIncarnation();
             listener.helloReceived(this, frame.getHello().getNodeId());
@@ -157,8 +159,10 @@
         if (closed || pendingCalls.isEmpty()) {
             return;
         }
-        long silentMillis = timers.nowMillis() - lastReceivedMillis;
-        if (silentMillis >= MAXIMUM_SILENCE_MILLIS) {
+        long now = timers.nowMillis();
+        boolean silent = silence.checkSilent(now);
+        long silentMillis = silence.silentMillis(now);
+        if (silent) {
             close("nothing received from node '" + address.nodeId() + "' for " + silentMillis + " ms");
             return;
         }
--- a/engine/src/test/java/org/sardineshunt/engine/backendserver/UpstreamQueueTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/backendserver/UpstreamQueueTest.java
@@ -4,6 +4,7 @@
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
+import org.sardineshunt.coordination.idempotency.AttemptId;
 import org.sardineshunt.coordination.limit.AdmissionQueue;
 import org.sardineshunt.coordination.limit.WorkItem;
 import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
@@ -52,6 +53,7 @@
                 .setTargetMillis((int) TARGET_MILLIS)
                 .setLeftMillis((int) (fromRunningRequest ? CALL_LEFT_MILLIS : NEW_WORK_LEFT_MILLIS))
                 .build();
-        return UpstreamQueue.toWorkItem(new PendingAttempt(attempt, 0, answer -> {}), 100);
+        return UpstreamQueue.toWorkItem(
+                new PendingAttempt(attempt, new AttemptId("entry", 1, 1), 0, answer -> {}), 100);
     }
 }
--- a/node/src/main/java/org/sardineshunt/node/backendserver/HomeService.java
+++ b/node/src/main/java/org/sardineshunt/node/backendserver/HomeService.java
@@ -12,6 +12,7 @@
 import org.sardineshunt.coordination.Verdict;
 import org.sardineshunt.coordination.health.HealthPolicy;
 import org.sardineshunt.coordination.health.UpstreamHealth.Outcome;
+import org.sardineshunt.coordination.idempotency.AttemptId;
 import org.sardineshunt.coordination.idempotency.AttemptRegistry;
 import org.sardineshunt.coordination.idempotency.AttemptRegistry.Abandonment;
 import org.sardineshunt.coordination.limit.WorkItem;
@@ -114,13 +115,9 @@
     /** Queues and runs an attempt, or refuses it; the future never completes exceptionally. */
     public CompletableFuture<Answer> attempt(Attempt attempt) {
         RequestContent content = attempt.getContent();
-        AttemptRegistry.Arrival arrival = attempts.recordArrival(attempt.getAttemptId());
+        AttemptRegistry.Arrival arrival = attempts.recordArrival(idOf(attempt.getAttemptId()));
         if (arrival != AttemptRegistry.Arrival.ACCEPTED) {
-            boolean abandoned = arrival == AttemptRegistry.Arrival.ABANDONED;
-            return refuse(
-                    attempt,
-                    abandoned ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN,
-                    abandoned ? Reason.ABANDONED : Reason.DUPLICATE_ATTEMPT);
+            return refuseRepeated(attempt, arrival);
         }
         if (crashes.mustRefuse(content.getFingerprint())) {
             return refuseAndRemember(attempt, Reason.CRASHING_REQUEST);
@@ -138,7 +135,7 @@
 
     /**
      * Returns the state of an attempt, with its answer if it has finished; one that has not started never will. The
-     * state is unknown if the attempt was sent to an earlier incarnation of this node.
+     * state is unknown if the attempt was sent to an earlier incarnation of this node, or may have been forgotten here.
      */
     public AbandonReply abandon(Abandon abandon) {
         long now = control.nowMillis();
@@ -147,7 +144,8 @@
                     .setState(AbandonReply.State.UNKNOWN)
                     .build();
         }
-        Abandonment<Answer> abandonment = attempts.abandon(now, abandon.getAttemptId(), abandon.getRememberMillis());
+        Abandonment<Answer> abandonment =
+                attempts.abandon(now, idOf(abandon.getAttemptId()), abandon.getRememberMillis());
         if (abandonment.state() == AttemptRegistry.State.ABANDONED) {
             upstreams.values().stream()
                     .flatMap(upstream -> upstream.admissionQueue().remove(abandon.getAttemptId()).stream())
@@ -161,6 +159,9 @@
                     .setState(AbandonReply.State.FINISHED)
                     .setAnswer(abandonment.answer())
                     .build();
+            case FORGOTTEN -> AbandonReply.newBuilder()
+                    .setState(AbandonReply.State.UNKNOWN)
+                    .build();
             default -> AbandonReply.newBuilder()
                     .setState(AbandonReply.State.RUNNING)
                     .build();
@@ -183,6 +184,18 @@
         return inFlight;
     }
 
+    private CompletableFuture<Answer> refuseRepeated(Attempt attempt, AttemptRegistry.Arrival arrival) {
+        return switch (arrival) {
+            case ABANDONED -> refuse(attempt, Verdict.NOT_RUN, Reason.ABANDONED);
+            default -> refuse(attempt, Verdict.MAY_HAVE_RUN, Reason.DUPLICATE_ATTEMPT);
+        };
+    }
+
+    // Entries of earlier versions don't number their attempts.
+    private static AttemptId idOf(String text) {
+        return AttemptId.parse(text).orElseGet(() -> new AttemptId(text, 0, 0));
+    }
+
     // Each upstream holds at most one suspect: a crash counts against all requests that run there, and could take a
     // second suspect to the crash limit by coincidence.
     private Optional<HomeUpstream> selectUpstream(Attempt attempt, boolean suspect) {
@@ -245,7 +258,7 @@
     private void startWork(HomeUpstream upstream, WorkItem<PendingAttempt> work) {
         long now = control.nowMillis();
         Attempt attempt = work.payload().attempt();
-        if (!attempts.tryStart(work.id())) {
+        if (!attempts.tryStart(idOf(work.id()))) {
             upstream.admissionQueue().finish(now, -1).forEach(next -> startWork(upstream, next));
             return;
         }
@@ -271,7 +284,7 @@
                 .setUpstreamId(upstreamId)
                 .setLoad(load(upstream, content.getRank()))
                 .build();
-        attempts.finish(now, work.id(), finalAnswer);
+        attempts.finish(now, idOf(work.id()), finalAnswer);
         boolean wasHealthy = upstream.health().condition(now) == HealthCondition.HEALTHY;
         List<WorkItem<PendingAttempt>> next = upstream.recordEnd(
                 now,
@@ -314,12 +327,12 @@
 
     private void refuseWork(WorkItem<PendingAttempt> work, Verdict verdict, Reason reason) {
         Attempt attempt = work.payload().attempt();
-        attempts.refuse(control.nowMillis(), work.id());
+        attempts.refuse(control.nowMillis(), idOf(work.id()));
         refuse(attempt, verdict, reason).thenAccept(work.payload().answer()::complete);
     }
 
     private CompletableFuture<Answer> refuseAndRemember(Attempt attempt, Reason reason) {
-        attempts.refuse(control.nowMillis(), attempt.getAttemptId());
+        attempts.refuse(control.nowMillis(), idOf(attempt.getAttemptId()));
         return refuse(attempt, Verdict.NOT_RUN, reason);
     }
 
--- a/node/src/main/java/org/sardineshunt/node/caller/Dispatcher.java
+++ b/node/src/main/java/org/sardineshunt/node/caller/Dispatcher.java
@@ -11,6 +11,7 @@
 import org.jboss.logging.Logger;
 import org.sardineshunt.coordination.Reason;
 import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.coordination.idempotency.AttemptId;
 import org.sardineshunt.coordination.retry.RetryBudget;
 import org.sardineshunt.coordination.retry.RetryPolicy;
 import org.sardineshunt.node.Answers;
@@ -61,6 +62,7 @@
     private final FailureLog failureLog;
     private final RetryPolicy retryPolicy = new RetryPolicy(MAXIMUM_ATTEMPTS, MINIMUM_TIME_LEFT_MILLIS);
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
+    private long lastAttemptNumber;
     private int inFlight;
 
     Dispatcher(
@@ -125,7 +127,7 @@
     private void sendAttempt(PendingRequest request, HomeSelector.SelectedHome selected) {
         long timeLeftMillis = request.deadlineMillis - control.nowMillis();
         request.attempts++;
-        String attemptId = request.content.getRequestId() + '.' + request.attempts;
+        String attemptId = new AttemptId(peers.selfId(), peers.self().incarnation(), ++lastAttemptNumber).toString();
         String nodeId = selected.home().nodeId();
         Attempt attempt = Attempt.newBuilder()
                 .setAttemptId(attemptId)
--- a/node/src/main/java/org/sardineshunt/node/peer/PeerLink.java
+++ b/node/src/main/java/org/sardineshunt/node/peer/PeerLink.java
@@ -8,6 +8,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import org.sardineshunt.coordination.membership.SilenceDetector;
 import org.sardineshunt.node.peer.LinkFailure.Kind;
 import org.sardineshunt.protocol.PeerFraming;
 import org.sardineshunt.protocol.PeerMessages.Envelope;
@@ -34,7 +35,7 @@
     private Channel channel;
     private long incarnation;
     private long lastCorrelation;
-    private long lastReceivedNanos;
+    private SilenceDetector silence;
     private long lastCallNanos;
 
     PeerLink(String remoteNodeId, Hello ownHello, long silenceLimitMillis, FrameFilter filter, LinkTraffic traffic) {
@@ -70,16 +71,16 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
-        lastReceivedNanos = System.nanoTime();
-        lastCallNanos = lastReceivedNanos;
+        lastCallNanos = System.nanoTime();
         write(Envelope.newBuilder().setHello(ownHello).build());
         long period = Math.max(1, silenceLimitMillis / HEARTBEATS_PER_SILENCE_LIMIT);
+        silence = new SilenceDetector(silenceLimitMillis, period, millis(lastCallNanos));
         channel.eventLoop().scheduleWithFixedDelay(this::checkLiveness, period, period, TimeUnit.MILLISECONDS);
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, Envelope envelope) {
-        lastReceivedNanos = System.nanoTime();
+        silence.recordReceived(millis(System.nanoTime()));
         if (envelope.hasHello()) {
             acceptHello(envelope.getHello());
         } else if (!envelope.hasHeartbeat()) {
@@ -139,7 +140,7 @@
             return;
         }
         long now = System.nanoTime();
-        boolean silent = now - lastReceivedNanos > silenceLimitMillis * 1_000_000;
+        boolean silent = silence.checkSilent(millis(now));
         boolean idle = calls.isEmpty() && now - lastCallNanos > IDLE_LIMIT_MILLIS * 1_000_000;
         if (silent || idle) {
             channel.close();
@@ -148,6 +149,10 @@
         write(Envelope.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance()).build());
     }
 
+    private static long millis(long nanos) {
+        return nanos / 1_000_000;
+    }
+
     private void write(Envelope envelope) {
         if (filter.passes(remoteNodeId)) {
             traffic.recordSent(envelope);
