Refuse an attempt that arrives after its outcome was forgotten

Callers saw: a booking ran at a second home and, ten seconds after its answer, at the first one, too (TWICE), when the bytes arrived that a cut path had held up.

Cause: an abandoned attempt was remembered for the time that it had left and 5 s more. TCP retransmits later than that, and the home took the late copy for a new attempt.

Change: an unknown attempt whose number is not above the highest forgotten one of its entry's process is refused as may-have-run (late-attempt). A copy of an attempt that is known to run or to have run is answered may-have-run; it was answered not-run before. Both are logged as attempt-repeated.

--- a/coordination/src/main/java/org/sardineshunt/coordination/Reason.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/Reason.java
@@ -50,6 +50,8 @@
     ABANDONED("abandoned", 503),
     /** The home node already received an attempt with this id. */
     DUPLICATE_ATTEMPT("duplicate-attempt", 503),
+    /** The attempt arrived so late that the home node may have forgotten an earlier arrival and its outcome. */
+    LATE_ATTEMPT("late-attempt", 502),
     /** The request crashed too many upstreams. */
     CRASHING_REQUEST("crashing-request", 503),
     /** The request is suspected of crashing upstreams, and no upstream is free to run it in isolation. */
--- a/coordination/src/main/java/org/sardineshunt/coordination/idempotency/AttemptRegistry.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/idempotency/AttemptRegistry.java
@@ -30,6 +30,9 @@
     /** Registers an arrived attempt as waiting for a slot, unless its id is known or forgotten already. */
     public Arrival recordArrival(AttemptId attemptId) {
         KnownAttempt<A> known = knownAttempts.get(attemptId);
+        if (known == null && forgottenAttempts.mayContain(attemptId)) {
+            return Arrival.FORGOTTEN;
+        }
         if (known == null) {
             knownAttempts.put(attemptId, new KnownAttempt<>(State.WAITING, null, Long.MAX_VALUE));
             return Arrival.ACCEPTED;
@@ -106,7 +109,9 @@
         /** The id belongs to an attempt that is waiting, running or finished. */
         DUPLICATE,
         /** The attempt was abandoned or refused before. */
-        ABANDONED
+        ABANDONED,
+        /** The attempt may have arrived before and been forgotten, so it may have run. */
+        FORGOTTEN
     }
 
     /** State of an attempt. */
--- a/coordination/src/test/java/org/sardineshunt/coordination/idempotency/AttemptRegistryTest.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/idempotency/AttemptRegistryTest.java
@@ -73,10 +73,43 @@
         assertThat(registry.abandon(1_000_000_000, ID, 500).state(), is(State.FORGOTTEN));
     }
 
+    /** Guards against a second run: a partition delayed the attempt until its abandonment was forgotten. */
+    @Test
+    void abandonedAttemptNeverStartsHoweverLateItArrives() {
+        registry.abandon(0, ID, 500);
+        registry.expire(1_000_000_000);
+
+        assertThat(registry.recordArrival(ID), is(Arrival.FORGOTTEN));
+        assertThat(registry.tryStart(ID), is(false));
+    }
+
+    @Test
+    void acceptsNewerAttemptsAndThoseOfOtherProcessesAfterForgettingOne() {
+        registry.refuse(0, ID);
+        registry.expire(1_000);
+
+        assertThat(registry.recordArrival(new AttemptId("entry", 7, 6)), is(Arrival.ACCEPTED));
+        assertThat(registry.recordArrival(new AttemptId("entry", 8, 5)), is(Arrival.ACCEPTED));
+        assertThat(registry.recordArrival(new AttemptId("other", 7, 5)), is(Arrival.ACCEPTED));
+    }
+
+    @Test
+    void remembersEarlierProcessesOfAnEntryAfterManyRestarts() {
+        for (long incarnation = 1; incarnation <= 100; incarnation++) {
+            registry.refuse(0, new AttemptId("entry", incarnation, 1));
+        }
+        registry.expire(1_000);
+
+        for (long incarnation = 1; incarnation <= 100; incarnation++) {
+            assertThat(registry.recordArrival(new AttemptId("entry", incarnation, 1)), is(Arrival.FORGOTTEN));
+        }
+        assertThat(registry.recordArrival(new AttemptId("entry", 101, 1)), is(Arrival.ACCEPTED));
+    }
+
     @Property(seed = "20261204", tries = 500)
     void noAttemptStartsAfterItWasReportedAsNotRun(
-            @ForAll @Size(max = 60) List<@IntRange(min = 0, max = 59) Integer> steps) {
-        // Each step is one of four operations (step / 15) on one of five attempts (step % 5).
+            @ForAll @Size(max = 60) List<@IntRange(min = 0, max = 74) Integer> steps) {
+        // Each step is one of five operations (step / 15) on one of five attempts (step % 5).
         AttemptRegistry<String> tested = new AttemptRegistry<>(1_000_000);
         Set<AttemptId> reportedNotRun = new HashSet<>();
         Set<AttemptId> started = new HashSet<>();
@@ -96,6 +129,7 @@
                         reportedNotRun.add(id);
                     }
                 }
+                case 3 -> tested.expire(Long.MAX_VALUE - 1);
                 default -> {
                     if (started.contains(id)) {
                         tested.finish(0, id, "answer");
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
@@ -150,8 +150,9 @@
             return () -> {};
         }
         AttemptId id = parsedId.get();
-        if (attemptRegistry.recordArrival(id) != AttemptRegistry.Arrival.ACCEPTED) {
-            onAnswer.accept(refusalAnswer(Reason.DUPLICATE_ATTEMPT));
+        AttemptRegistry.Arrival arrival = attemptRegistry.recordArrival(id);
+        if (arrival != AttemptRegistry.Arrival.ACCEPTED) {
+            onAnswer.accept(repeatAnswer(attempt, arrival));
             return () -> {};
         }
         PendingAttempt pending = new PendingAttempt(attempt, id, now, onAnswer);
@@ -438,6 +439,23 @@
         pending.complete(refusalAnswer(reason));
     }
 
+    // Only an abandoned attempt is known not to run; of the others one arrival has run or may still run.
+    private Answer repeatAnswer(Attempt attempt, AttemptRegistry.Arrival arrival) {
+        boolean neverRuns = arrival == AttemptRegistry.Arrival.ABANDONED;
+        Reason reason = arrival == AttemptRegistry.Arrival.FORGOTTEN ? Reason.LATE_ATTEMPT : Reason.DUPLICATE_ATTEMPT;
+        metrics.count("home_refusals", reason.label());
+        log.event("attempt-repeated")
+                .with("request", attempt.getRequestId())
+                .with("attempt", attempt.getAttemptId())
+                .with("arrival", arrival.name())
+                .write();
+        return neverRuns
+                ? refusalAnswer(reason)
+                : UpstreamHttpMapper.failureAnswer(Verdict.MAY_HAVE_RUN, reason, true)
+                        .setLoad(createLoadReport())
+                        .build();
+    }
+
     private static Answer unknownOutcome() {
         return UpstreamHttpMapper.failureAnswer(Verdict.MAY_HAVE_RUN, Reason.LINK_LOST, true)
                 .build();
--- a/engine/src/test/java/org/sardineshunt/engine/EngineLateMessageTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineLateMessageTest.java
@@ -11,6 +11,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 
 class EngineLateMessageTest {
     private final EngineFleet fleet = new EngineFleet(1);
@@ -32,6 +33,32 @@
         }
     }
 
+    /** Guards against a second run (TWICE): a cut path delivered a booking after its abandonment was forgotten. */
+    @Test
+    void anAbandonedBookingNeverRunsHoweverLateItArrives() throws IOException {
+        try (FakeEntry entry = new FakeEntry(fleet, "node-0")) {
+            assertThat(verdict(entry.inquire("entry/1/1")), is(Verdict.NOT_RUN));
+            entry.attempt("entry/1/2");
+            awaitForgotten(entry, "entry/1/2");
+            fleet.upstream(0).receivedRequests().clear();
+
+            assertThat(verdict(entry.attempt("entry/1/1")), not(Verdict.RAN));
+
+            assertThat(fleet.receivedRequestCount(), is(0));
+        }
+    }
+
+    /** A home that has the attempt can't state that it doesn't run. */
+    @Test
+    void aSecondCopyOfABookingIsNotReportedAsNotRun() throws IOException {
+        try (FakeEntry entry = new FakeEntry(fleet, "node-0")) {
+            entry.attempt("entry/1/1");
+
+            assertThat(verdict(entry.attempt("entry/1/1")), is(Verdict.MAY_HAVE_RUN));
+            assertThat(fleet.receivedRequestCount(), is(1));
+        }
+    }
+
     @Test
     void refusesAnAttemptWhoseIdHasNoNumber() throws IOException {
         try (FakeEntry entry = new FakeEntry(fleet, "node-0")) {
--- a/node/src/main/java/org/sardineshunt/node/backendserver/HomeService.java
+++ b/node/src/main/java/org/sardineshunt/node/backendserver/HomeService.java
@@ -187,6 +187,7 @@
     private CompletableFuture<Answer> refuseRepeated(Attempt attempt, AttemptRegistry.Arrival arrival) {
         return switch (arrival) {
             case ABANDONED -> refuse(attempt, Verdict.NOT_RUN, Reason.ABANDONED);
+            case FORGOTTEN -> refuse(attempt, Verdict.MAY_HAVE_RUN, Reason.LATE_ATTEMPT);
             default -> refuse(attempt, Verdict.MAY_HAVE_RUN, Reason.DUPLICATE_ATTEMPT);
         };
     }
