Take a garbled status line for a fault of the upstream

Callers saw: "HTTP/1.1 20 Unknown Status (20)" with the signature and body of an upstream that had dropped a digit of its status (MIXED); callers of other nodes got 502 at the cost of the link.

Cause: the HTTP decoder takes any number for a status, and the home refused only those above 599. Only answers over links were checked.

The home checks each of its answers like those of other nodes, before it leaves, so no fault of an upstream closes a link.

--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamHttpMapper.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamHttpMapper.java
@@ -14,6 +14,7 @@
 import org.sardineshunt.engine.http.HttpOutcome.Responded;
 import org.sardineshunt.engine.http.HttpRequestData;
 import org.sardineshunt.engine.http.HttpResponseData;
+import org.sardineshunt.engine.peer.AnswerValidator;
 import org.sardineshunt.engine.protocol.EngineMessages.Answer;
 import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
 import org.sardineshunt.engine.protocol.EngineMessages.Header;
@@ -22,7 +23,6 @@
 final class UpstreamHttpMapper {
     private static final int MISDIRECTED_REQUEST = 421;
     private static final int GATEWAY_TIMEOUT = 504;
-    private static final int MAXIMUM_STATUS = 599;
 
     // Callers take these statuses as a promise that the request has not run. Only a marked response gives it.
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 429, 503);
@@ -108,10 +108,6 @@
         if (NOT_RUN_STATUSES.contains(response.status())) {
             return failureAnswer(Verdict.MAY_HAVE_RUN, Reason.SERVER_ERROR, true);
         }
-        // Other nodes take an answer with such a status for a fault of the link.
-        if (response.status() > MAXIMUM_STATUS) {
-            return failureAnswer(Verdict.MAY_HAVE_RUN, Reason.ANSWER_CROSSED, true);
-        }
         boolean success = response.status() / 100 == 2;
         // An unsigned success does not come from the upstream, and the request may have run there all the same.
         if (success && response.header(headers.signature()).isEmpty()
@@ -124,12 +120,16 @@
                         .setValue(header.value())
                         .build())
                 .toList();
-        return Answer.newBuilder()
+        Answer.Builder answer = Answer.newBuilder()
                 .setVerdict(Verdict.RAN.ordinal())
                 .setReason(response.status() >= 500 ? Reason.SERVER_ERROR.label() : Reason.NONE.label())
                 .setStatus(response.status())
                 .addAllHeaders(forwarded)
                 .setBody(ByteString.copyFrom(response.body()))
                 .setOffered(true);
+        // Another node would take an invalid answer for a fault of the link.
+        return AnswerValidator.findFault(answer).isPresent()
+                ? failureAnswer(Verdict.MAY_HAVE_RUN, Reason.ANSWER_CROSSED, true)
+                : answer;
     }
 }
--- a/engine/src/main/java/org/sardineshunt/engine/peer/AnswerValidator.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/AnswerValidator.java
@@ -4,18 +4,21 @@
 
 import io.netty.handler.codec.http.HttpHeaderValidationUtil;
 import org.sardineshunt.coordination.Verdict;
-import org.sardineshunt.engine.protocol.EngineMessages.Answer;
+import org.sardineshunt.engine.protocol.EngineMessages.AnswerOrBuilder;
 import org.sardineshunt.engine.protocol.EngineMessages.Header;
 
-/** Checks answers of other nodes before they are used: one that can't be passed on would leave its caller waiting. */
-final class AnswerValidator {
+/**
+ * Checks answers before they are used, those of the local home and those of other nodes alike: one that can't be passed
+ * on would leave its caller waiting.
+ */
+public final class AnswerValidator {
     private static final int MINIMUM_STATUS = 200;
     private static final int MAXIMUM_STATUS = 599;
 
     private AnswerValidator() {}
 
     /** Returns what makes an answer unusable; empty if it is valid. */
-    static Optional<String> findFault(Answer answer) {
+    public static Optional<String> findFault(AnswerOrBuilder answer) {
         Optional<Verdict> verdict = Verdict.ofOrdinal(answer.getVerdict());
         if (verdict.isEmpty()) {
             return Optional.of("unknown verdict " + answer.getVerdict());
--- a/engine/src/test/java/org/sardineshunt/engine/EngineOddInputTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineOddInputTest.java
@@ -88,11 +88,15 @@
         assertThat(lookup.header("X-Signature").isPresent(), is(false));
     }
 
-    /** Guards against closing the link to a home because its upstream sends a status that HTTP doesn't know. */
-    @Test
-    void treatsAnUnknownStatusAsAFaultOfTheUpstream() {
+    /**
+     * Guards against passing on a garbled status (MIXED), which only callers at the home's own node received, and
+     * against closing the link to a home because of it.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 2, 20, 99, 600, 999, 2_000})
+    void treatsAnUnknownStatusAsAFaultOfTheUpstream(int status) {
         IntStream.range(0, NODES).forEach(index -> fleet.upstream(index).setHandler(exchange -> fleet.upstream(index)
-                .respond(exchange, 999, new HttpHeader("X-Signature", "signed"))));
+                .respond(exchange, status, new HttpHeader("X-Signature", "signed"))));
         List<Integer> statuses = IntStream.range(0, 6)
                 .map(request -> send("POST", EngineFleet.BOOKING_PATH).status())
                 .boxed()
--- a/engine/src/test/java/org/sardineshunt/engine/http/HttpClientTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/http/HttpClientTest.java
@@ -87,6 +87,36 @@
         }
     }
 
+    /** Guards against taking garbled bytes for an answer (MIXED). */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 20 OK",
+                "HTTP/1.1 2",
+                "HTTP/1.1 000 OK",
+                "HTTP/1.1 0200 OK",
+                "HTTP/1.1 2000 OK",
+                "HTTP/1.1 +20 OK",
+                "HTTP/1.1 999 OK",
+                "HTTP/1.1 2x0 OK",
+                "HTTP/1.1 OK",
+                "HTXP/1.1 200 OK",
+                "HTTP/11.1 200 OK",
+                "HTTP/2.0 200 OK",
+            })
+    void failsACallWhoseStatusLineIsMalformed(String statusLine) throws Exception {
+        RawServer.Script script = connection -> {
+            connection.readRequest();
+            connection.write(statusLine + "\r\nX-Request: 1\r\nContent-Length: 4\r\n\r\ndone");
+            connection.readRequest();
+        };
+        try (RawServer server = new RawServer(script)) {
+            Failed failed = (Failed) get(server, "1");
+            assertThat(failed.kind(), is(FailureKind.MALFORMED));
+            assertThat(failed.stage(), is(Stage.SENT));
+        }
+    }
+
     @Test
     void limitsTheBytesOfAllResponsesTogether() throws Exception {
         HttpClient sharingClient = new HttpClient((EventLoop) eventLoops.next(), "", Integer.MAX_VALUE);
