Acknowledge a departure only once it outlives the process

Callers saw: bookings were sent to an upstream up to 14 s after its leave had been acknowledged, and lost when it exited (DRAIN). The store was down at the leave, and the node was restarted before it was back.

Cause: announcements were acknowledged after 600 ms even if the table had not stored them. Only this process knew of the leave; the next one restored the old row, in which the upstream was ready.

Change: a departure is acknowledged once the table has stored it or, while it doesn't answer, two other nodes have recorded it; copies go to all reachable nodes until the row is stored. A planned stop waits for the row. A restarted node uses a row that says ready only if nodes that knew the process before know of no departure; otherwise it waits for the upstream's next announcement, and a leaving upstream sends none. A repeated announcement of a departure is no longer acknowledged before the first one is stored.

--- a/coordination/src/main/java/org/sardineshunt/coordination/announcement/Announcement.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/announcement/Announcement.java
@@ -30,6 +30,16 @@
         }
     }
 
+    /** Returns whether both announcements are of the same start. */
+    public boolean isSameStart(Announcement other) {
+        return id.equals(other.id) && startedEpochMillis == other.startedEpochMillis;
+    }
+
+    /** Returns whether this is of a later start than the other, or of the same start in the same or a later phase. */
+    public boolean supersedes(Announcement other) {
+        return isSameStart(other) ? phase.compareTo(other.phase) >= 0 : startedEpochMillis > other.startedEpochMillis;
+    }
+
     /** Returns a copy of this announcement with another phase. */
     public Announcement withPhase(Phase newPhase) {
         return new Announcement(id, startedEpochMillis, sequence, service, slots, newPhase, warmUpMillis);
--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -12,8 +12,10 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import org.sardineshunt.coordination.Reason;
 import org.sardineshunt.coordination.RendezvousHashing;
 import org.sardineshunt.coordination.announcement.Announcement;
+import org.sardineshunt.coordination.announcement.DepartureRegistry;
 import org.sardineshunt.coordination.idempotency.CrashingRequestDetector;
 import org.sardineshunt.coordination.limit.StopAdmission;
 import org.sardineshunt.coordination.placement.PlacementPolicy;
@@ -31,10 +33,12 @@
 import org.sardineshunt.engine.peer.NodeDirectory;
 import org.sardineshunt.engine.peer.PeerAddress;
 import org.sardineshunt.engine.peer.PeerNetwork;
+import org.sardineshunt.engine.peer.UpstreamRecords;
 import org.sardineshunt.engine.platform.TableStore;
 import org.sardineshunt.engine.protocol.EngineMessages.Answer;
 import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
 import org.sardineshunt.engine.protocol.EngineMessages.CrashReport;
+import org.sardineshunt.engine.protocol.EngineMessages.Departure;
 import org.sardineshunt.engine.protocol.EngineMessages.Frame;
 import org.sardineshunt.engine.protocol.EngineMessages.Inquiry;
 
@@ -60,9 +64,6 @@
     private static final int CRASH_LIMIT = 2;
     private static final long CRASH_RETENTION_MILLIS = 120_000;
 
-    // Announcements are acknowledged after this time even if the table hasn't stored them.
-    private static final long ACKNOWLEDGEMENT_TIMEOUT_MILLIS = 600;
-
     private static final long STOP_POLL_INTERVAL_MILLIS = 100;
     private static final long STOP_IDLE_CONNECTION_MILLIS = 300;
 
@@ -87,6 +88,7 @@
     private final HttpClient upstreamClient;
     private final PeerNetwork network;
     private final HttpServer callerServer;
+    private final DepartureRegistry departures = new DepartureRegistry();
     private final CrashingRequestDetector crashDetector =
             new CrashingRequestDetector(CRASH_LIMIT, CRASH_RETENTION_MILLIS);
     private volatile FleetConfiguration configuration;
@@ -98,6 +100,8 @@
     private EntryService entry;
     private FleetHomeClient homeClient;
     private LoadReporter loadReporter;
+    private AnnouncementAcknowledger acknowledger;
+    private UpstreamRestorer restorer;
     private PeerAddress ownAddress;
 
     /**
@@ -145,6 +149,7 @@
         PlacementPolicy placement = new PlacementPolicy(
                 Rotation.builder().floorShare(settings.limits().floorShare()).build(), TRIAL_SHARE);
         homeClient = new FleetHomeClient(control, settings.nodeId(), directory, network, home);
+        acknowledger = new AnnouncementAcknowledger(control, log, settings.nodeId(), directory, homeClient);
         loadReporter = new LoadReporter(control, settings.nodeId(), directory, homeRegistry, homeClient, home);
         entry = new EntryService(
                 context, homeClient, homeRegistry, placement, () -> Optional.ofNullable(configuration));
@@ -188,11 +193,12 @@
     /**
      * Processes an announcement of the local upstream.
      *
-     * @param acknowledge called on the control thread once the announcement outlives this process: immediately if it
-     *     changes nothing, otherwise when the table has stored it, or after a timeout if the table doesn't answer
+     * @param acknowledge called on the control thread: for a departure once it outlives this process, that is, when the
+     *     table or, while that doesn't answer, other nodes have it; for an upstream that is ready when the table has
+     *     stored a change or after a timeout
      */
     public void announce(Announcement announcement, Runnable acknowledge) {
-        control.execute(() -> acknowledgeWhenStored(home.recordAnnouncement(announcement), acknowledge));
+        control.execute(() -> acknowledge(home.recordAnnouncement(announcement), acknowledge));
     }
 
     /**
@@ -202,7 +208,7 @@
      * @param acknowledge called like that of an announcement
      */
     public void leave(String upstreamId, long startedEpochMillis, Runnable acknowledge) {
-        control.execute(() -> acknowledgeWhenStored(home.recordLeave(upstreamId, startedEpochMillis), acknowledge));
+        control.execute(() -> acknowledge(home.recordLeave(upstreamId, startedEpochMillis), acknowledge));
     }
 
     /**
@@ -225,7 +231,7 @@
             entry.limitForStop(StopAdmission.stopping(
                     stopStartedMillis + STOP_MAXIMUM_DETECTION_MILLIS,
                     stopStartedMillis + settings.limits().stopTimeoutMillis() - STOP_FINAL_RESPONSES_MILLIS));
-            publishOwnNode(() -> {});
+            publishOwnNode();
             control.after(STOP_POLL_INTERVAL_MILLIS, () -> awaitIdle(stopStartedMillis, stopped));
         });
         return stopped;
@@ -250,10 +256,12 @@
             entry.timeOutAll();
         }
         boolean detectionPending = elapsedMillis < STOP_MAXIMUM_DETECTION_MILLIS;
+        boolean departurePending =
+                home.announcement().filter(acknowledger::isUnstoredDeparture).isPresent();
         boolean requestsPending =
                 entry.inFlight() > 0 || home.pendingAttempts() > 0 || callerServer.busyConnections() > 0;
         if (elapsedMillis < settings.limits().stopTimeoutMillis()
-                && (detectionPending || requestsPending || callerServer.openConnections() > 0)) {
+                && (detectionPending || departurePending || requestsPending || callerServer.openConnections() > 0)) {
             if (!detectionPending) {
                 callerServer.closeIdleConnections(STOP_IDLE_CONNECTION_MILLIS);
             }
@@ -284,40 +292,50 @@
         return limits.withBodyBytes(Math.min(limits.bodyBytes(), PeerNetwork.MAXIMUM_BODY_BYTES));
     }
 
-    private void acknowledgeWhenStored(boolean changed, Runnable acknowledge) {
-        if (!changed) {
-            acknowledge.run();
-            return;
+    private void acknowledge(boolean changed, Runnable acknowledgement) {
+        if (changed) {
+            publishOwnNode();
         }
-        Runnable acknowledgeOnce = new RunOnce(acknowledge);
-        publishOwnNode(acknowledgeOnce);
-        control.after(ACKNOWLEDGEMENT_TIMEOUT_MILLIS, acknowledgeOnce);
+        home.announcement().ifPresent(current -> acknowledger.acknowledge(current, changed, acknowledgement));
     }
 
-    private void publishOwnNode(Runnable onStored) {
+    private void publishOwnNode() {
         KnownNode ownNode =
                 new KnownNode(ownAddress, incarnation, settings.dataCentre(), stopping, home.announcement());
-        directory.publish(ownNode, onStored);
+        directory.publish(ownNode, () -> ownNode.upstream().ifPresent(acknowledger::recordStored));
     }
 
     private void onDirectoryChanged() {
         homeRegistry.handleRestarts(network::probeIfLost);
         network.forgetLostNodesExcept(directory.nodes().map(KnownNode::address).collect(Collectors.toSet()));
-        if (!ready) {
+        directory.nodes().forEach(node -> node.upstream()
+                .ifPresent(upstream -> departures.recordStored(node.address().nodeId(), upstream)));
+        if (restorer == null) {
             restoreUpstream();
-            publishOwnNode(() -> {});
-            becomeReadyIfLoaded();
         }
+        becomeReadyIfLoaded();
     }
 
     // After a restart of this process alone its upstream is still running, and this node's row describes it. A row
     // with another host was written on another instance.
     private void restoreUpstream() {
-        directory
+        restorer = new UpstreamRestorer(
+                log, settings.nodeId(), directory, homeClient, random, this::applyRestored, this::publishOwnNode);
+        Optional<KnownNode> ownRow = directory
                 .storedOwnNode()
                 .filter(row -> row.address().host().equals(ownAddress.host()))
-                .flatMap(KnownNode::upstream)
-                .ifPresent(home::restoreAnnouncement);
+                .filter(row -> row.upstream().isPresent());
+        ownRow.ifPresentOrElse(
+                row -> {
+                    acknowledger.recordStored(row.upstream().orElseThrow());
+                    restorer.restore(row.upstream().orElseThrow(), row.incarnation());
+                },
+                this::publishOwnNode);
+    }
+
+    private void applyRestored(Announcement announcement) {
+        home.restoreAnnouncement(announcement);
+        publishOwnNode();
     }
 
     private void becomeReadyIfLoaded() {
@@ -369,6 +387,27 @@
             homeClient.relayInquiry(homeId, inquiry, onAnswer);
         }
 
+        @Override
+        public Answer recordDeparture(String nodeId, Departure departure) {
+            Reason reason = UpstreamRecords.tryDecode(departure.getUpstream())
+                    .peek(upstream -> departures.record(nodeId, upstream))
+                    .fold(cause -> Reason.MALFORMED_REQUEST, upstream -> Reason.NONE);
+            log.event("departure-received")
+                    .with("peer", nodeId)
+                    .with("upstream", departure.getUpstream().getId())
+                    .with("phase", departure.getUpstream().getPhase())
+                    .with("reason", reason.label())
+                    .write();
+            return Answer.newBuilder().setReason(reason.label()).build();
+        }
+
+        @Override
+        public Answer findDeparture(String nodeId) {
+            Answer.Builder answer = Answer.newBuilder().setReason(Reason.NONE.label());
+            departures.find(nodeId).map(UpstreamRecords::encode).ifPresent(answer::setDeparted);
+            return answer.build();
+        }
+
         @Override
         public void receiveOneWay(String nodeId, Frame frame) {
             if (frame.hasLoad()) {
@@ -380,22 +419,4 @@
             }
         }
     }
-
-    /** Runs an action at most once. Not thread-safe. */
-    private static final class RunOnce implements Runnable {
-        private Runnable action;
-
-        private RunOnce(Runnable action) {
-            this.action = action;
-        }
-
-        @Override
-        public void run() {
-            Runnable pendingAction = action;
-            action = null;
-            if (pendingAction != null) {
-                pendingAction.run();
-            }
-        }
-    }
 }
--- a/engine/src/main/java/org/sardineshunt/engine/FleetHomeClient.java
+++ b/engine/src/main/java/org/sardineshunt/engine/FleetHomeClient.java
@@ -1,5 +1,8 @@
 package org.sardineshunt.engine;
 
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.function.Consumer;
@@ -90,6 +93,41 @@
                 frame);
     }
 
+    /**
+     * Calls those of the nodes that are reachable, except this one.
+     *
+     * @param timeoutMillis time after which calls without an answer are cancelled
+     * @param onAnswer receives each answer
+     * @param onEnded called once when all calls have ended
+     */
+    void callReachable(
+            Stream<KnownNode> nodes, Frame message, long timeoutMillis, Consumer<Answer> onAnswer, Runnable onEnded) {
+        Map<PeerAddress, Runnable> cancellations = new HashMap<>();
+        List<PeerAddress> called = nodes.map(KnownNode::address)
+                .filter(address -> !address.nodeId().equals(ownId))
+                .filter(network::isReachable)
+                .toList();
+        if (called.isEmpty()) {
+            onEnded.run();
+            return;
+        }
+        called.forEach(address -> cancellations.put(address, network.call(address, message, result -> {
+            cancellations.remove(address);
+            result.peek(onAnswer);
+            if (cancellations.isEmpty()) {
+                onEnded.run();
+            }
+        })));
+        control.after(timeoutMillis, () -> {
+            if (!cancellations.isEmpty()) {
+                List<Runnable> unanswered = List.copyOf(cancellations.values());
+                cancellations.clear();
+                unanswered.forEach(Runnable::run);
+                onEnded.run();
+            }
+        });
+    }
+
     private void inquireDirectly(String nodeId, Inquiry inquiry, Consumer<Either<PeerFailure, Answer>> onResult) {
         address(nodeId)
                 .ifPresentOrElse(
--- a/engine/src/main/java/org/sardineshunt/engine/peer/NodeDirectory.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/NodeDirectory.java
@@ -20,7 +20,6 @@
 import org.sardineshunt.engine.platform.TableStore.TableFailure;
 import org.sardineshunt.engine.platform.TableWatch;
 import org.sardineshunt.engine.protocol.EngineMessages.NodeRecord;
-import org.sardineshunt.engine.protocol.EngineMessages.UpstreamRecord;
 
 /**
  * The nodes of the fleet, as described by their rows in a table of the platform. Each node writes only its own row.
@@ -219,7 +218,7 @@
                 throw new InvalidProtocolBufferException("key is not the node ID '" + node.getNodeId() + "'");
             }
             Optional<Announcement> upstream =
-                    node.hasUpstream() ? Optional.of(decode(node.getUpstream())) : Optional.empty();
+                    node.hasUpstream() ? Optional.of(UpstreamRecords.decode(node.getUpstream())) : Optional.empty();
             return Optional.of(new KnownNode(
                     new PeerAddress(node.getNodeId(), node.getHost(), node.getPort()),
                     node.getIncarnation(),
@@ -236,17 +235,6 @@
         }
     }
 
-    private static Announcement decode(UpstreamRecord upstream) {
-        return new Announcement(
-                upstream.getId(),
-                upstream.getBorn(),
-                upstream.getSequence(),
-                upstream.getService(),
-                upstream.getSlots(),
-                Phase.ofOrdinal(upstream.getPhase()),
-                0);
-    }
-
     private static byte[] encode(KnownNode node) {
         NodeRecord.Builder builder = NodeRecord.newBuilder()
                 .setNodeId(node.address().nodeId())
@@ -255,14 +243,7 @@
                 .setPort(node.address().port())
                 .setDataCentre(node.dataCentre())
                 .setStopping(node.stopping());
-        node.upstream()
-                .ifPresent(upstream -> builder.setUpstream(UpstreamRecord.newBuilder()
-                        .setId(upstream.id())
-                        .setBorn(upstream.startedEpochMillis())
-                        .setSequence(upstream.sequence())
-                        .setService(upstream.service())
-                        .setSlots(upstream.slots())
-                        .setPhase(upstream.phase().ordinal())));
+        node.upstream().ifPresent(upstream -> builder.setUpstream(UpstreamRecords.encode(upstream)));
         return builder.build().toByteArray();
     }
 }
--- a/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
@@ -23,6 +23,8 @@
 import org.sardineshunt.engine.EventLog;
 import org.sardineshunt.engine.protocol.EngineMessages.Answer;
 import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
+import org.sardineshunt.engine.protocol.EngineMessages.Departure;
+import org.sardineshunt.engine.protocol.EngineMessages.DepartureQuery;
 import org.sardineshunt.engine.protocol.EngineMessages.Frame;
 import org.sardineshunt.engine.protocol.EngineMessages.Hello;
 import org.sardineshunt.engine.protocol.EngineMessages.Inquiry;
@@ -51,6 +53,10 @@
     private final Map<PeerAddress, PeerLink> links = new HashMap<>();
     private final Map<PeerAddress, LostNode> lostNodes = new HashMap<>();
     private final Set<FrameChannel> incomingChannels = new HashSet<>();
+
+    // The last two incarnations of each node that has opened a link, the newer one last.
+    private final Map<String, List<Long>> lastIncarnations = new HashMap<>();
+
     private FrameHandler handler;
     private Channel serverChannel;
     private boolean closed;
@@ -102,6 +108,16 @@
         return linkTo(home).call(Frame.newBuilder().setAttempt(attempt), onResult);
     }
 
+    /**
+     * Sends a message that is answered.
+     *
+     * @param onResult called once, unless the call is cancelled
+     * @return an action that cancels the call
+     */
+    public Runnable call(PeerAddress node, Frame message, Consumer<Either<PeerFailure, Answer>> onResult) {
+        return linkTo(node).call(message.toBuilder(), onResult);
+    }
+
     /** Asks a home how an attempt ended; opens a new link if the last one is closed. */
     public void inquire(PeerAddress home, Inquiry inquiry, Consumer<Either<PeerFailure, Answer>> onResult) {
         linkTo(home).call(Frame.newBuilder().setInquiry(inquiry), onResult);
@@ -171,6 +187,15 @@
         return link;
     }
 
+    private void recordIncarnation(Hello hello) {
+        long incarnation = hello.getIncarnation();
+        lastIncarnations.merge(
+                hello.getNodeId(),
+                List.of(incarnation),
+                (known, added) ->
+                        known.contains(incarnation) ? known : List.of(known.get(known.size() - 1), incarnation));
+    }
+
     // A lost node that opens a link runs again, whatever the table says of it yet.
     private void probeLostNode(String nodeId) {
         Optional<PeerAddress> lost = lostNodes.keySet().stream()
@@ -250,6 +275,12 @@
         /** Reports how an attempt ended whose link was lost. */
         void inquire(Inquiry inquiry, Consumer<Answer> onAnswer);
 
+        /** Records a departure of a node's upstream and returns the answer. */
+        Answer recordDeparture(String nodeId, Departure departure);
+
+        /** Returns the departure of a node's upstream that was recorded, as an answer. */
+        Answer findDeparture(String nodeId);
+
         /** Handles a frame that has no reply. */
         void receiveOneWay(String nodeId, Frame frame);
     }
@@ -281,6 +312,8 @@
                                 frame.getAttempt(),
                                 answer -> control.execute(() -> reply(channel, correlation, answer))));
                 case INQUIRY -> handler.inquire(frame.getInquiry(), answer -> reply(channel, correlation, answer));
+                case DEPARTURE -> reply(channel, correlation, handler.recordDeparture(nodeId, frame.getDeparture()));
+                case DEPARTURE_QUERY -> reply(channel, correlation, findDeparture(frame.getDepartureQuery()));
                 case CANCEL -> cancel(correlation);
                 default -> handler.receiveOneWay(nodeId, frame);
             }
@@ -299,6 +332,7 @@
 
         private void acceptHello(FrameChannel channel, Hello hello) {
             nodeId = hello.getNodeId();
+            recordIncarnation(hello);
             probeLostNode(nodeId);
             if (hello.getProtocolVersion() != PROTOCOL_VERSION) {
                 log.event("peer-refused")
@@ -309,6 +343,14 @@
             }
         }
 
+        private Answer findDeparture(DepartureQuery query) {
+            boolean knewPreviousProcess =
+                    lastIncarnations.getOrDefault(nodeId, List.of()).contains(query.getPreviousIncarnation());
+            return handler.findDeparture(nodeId).toBuilder()
+                    .setKnewPreviousProcess(knewPreviousProcess)
+                    .build();
+        }
+
         private void reply(FrameChannel channel, long correlation, Answer answer) {
             cancellations.remove(correlation);
             if (open) {
--- /dev/null
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineDepartureTest.java
@@ -0,0 +1,164 @@
+package org.sardineshunt.engine;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.IntStream;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.sardineshunt.coordination.announcement.Announcement.Phase;
+import org.sardineshunt.engine.protocol.EngineMessages.NodeRecord;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+
+class EngineDepartureTest {
+    private static final String NODES_TABLE = "sardineshunt-nodes";
+    private static final long STOP_TIMEOUT_MILLIS = 3_000;
+
+    private EngineFleet fleet;
+
+    @AfterEach
+    void close() {
+        fleet.close();
+    }
+
+    /** Guards against forgetting an acknowledged leave (DRAIN): the table was down and the process was killed. */
+    @Test
+    void aLeaveAcknowledgedInAnOutageOfTheTableOutlivesTheProcess() {
+        fleet = new EngineFleet(3);
+        fleet.table().setDown(true);
+        AtomicBoolean acknowledged = leave(1);
+        Await.until("the leave was acknowledged", acknowledged::get);
+
+        Engine restarted = fleet.restart(1);
+        restarted.configure(EngineFleet.configuration(1, 4_000));
+        fleet.table().setDown(false);
+        Await.until("the restarted engine is ready", restarted::isReady);
+        Await.until("the table has the leave", () -> storedPhase(1) == Phase.LEFT);
+
+        IntStream.range(0, 12).forEach(request -> fleet.sendAndGetStatus(request % 3, "GET", EngineFleet.LOOKUP_PATH));
+        assertThat(fleet.upstream(1).receivedRequests().size(), is(0));
+    }
+
+    /** Guards against losing an acknowledged leave at a planned stop (DRAIN), which ended before the table was back. */
+    @Test
+    void aStopWaitsForTheTableToStoreALeave() {
+        fleet = new EngineFleet(3);
+        fleet.table().setDown(true);
+        AtomicBoolean acknowledged = leave(1);
+        Await.until("the leave was acknowledged", acknowledged::get);
+
+        CompletableFuture<Void> stopped = fleet.engine(1).stop();
+        stopped.join();
+
+        assertThat(millisOfStop(), greaterThanOrEqualTo(STOP_TIMEOUT_MILLIS));
+    }
+
+    @Test
+    void aStopEndsOnceTheTableHasStoredTheLeave() {
+        fleet = new EngineFleet(3);
+        fleet.table().setDown(true);
+        AtomicBoolean acknowledged = leave(1);
+        Await.until("the leave was acknowledged", acknowledged::get);
+
+        CompletableFuture<Void> stopped = fleet.engine(1).stop();
+        fleet.table().setDown(false);
+        stopped.join();
+
+        assertThat(storedPhase(1), is(Phase.LEFT));
+    }
+
+    /** Guards against acknowledging what only this process knows (DRAIN): no other node could record the leave. */
+    @Test
+    void acknowledgesALeaveOnlyOnceItOutlivesTheProcess() {
+        fleet = new EngineFleet(1);
+        fleet.table().setDown(true);
+
+        AtomicBoolean acknowledged = leave(0);
+        awaitFailedWrites(4);
+        assertThat(acknowledged.get(), is(false));
+
+        fleet.table().setDown(false);
+        Await.until("the leave was acknowledged", acknowledged::get);
+        assertThat(storedPhase(0), is(Phase.LEFT));
+    }
+
+    /** A repeated announcement changes nothing, but the one before it isn't stored yet. */
+    @Test
+    void acknowledgesARepeatedDepartureOnlyOnceTheFirstIsStored() {
+        fleet = new EngineFleet(1);
+        fleet.table().setDown(true);
+
+        AtomicBoolean acknowledged = new AtomicBoolean();
+        fleet.engine(0).announce(EngineFleet.announcement(0, 2, Phase.DRAINING), () -> {});
+        fleet.engine(0).announce(EngineFleet.announcement(0, 3, Phase.DRAINING), () -> acknowledged.set(true));
+        awaitFailedWrites(4);
+        assertThat(acknowledged.get(), is(false));
+
+        fleet.table().setDown(false);
+        Await.until("the departure was acknowledged", acknowledged::get);
+        assertThat(storedPhase(0), is(Phase.DRAINING));
+    }
+
+    /** Without a node that knew the process before, a departure that it acknowledged would be unknown. */
+    @Test
+    void usesAStoredUpstreamOnlyOnceItAnnouncesItselfIfAllNodesHaveRestarted() {
+        fleet = new EngineFleet(2);
+        fleet.engine(1).kill();
+        IntStream.range(0, 2).forEach(index -> {
+            Engine restarted = fleet.restart(index);
+            restarted.configure(EngineFleet.configuration(1, 4_000));
+            Await.until("the restarted engine is ready", restarted::isReady);
+        });
+        Await.until(
+                "both rows were judged",
+                () -> fleet.logLines().stream()
+                                .filter(line -> line.contains("upstream-not-restored"))
+                                .count()
+                        == 2);
+
+        assertThat(fleet.sendAndGetStatus(0, "POST", EngineFleet.BOOKING_PATH), is(503));
+        assertThat(fleet.receivedRequestCount(), is(0));
+
+        fleet.engine(0).announce(EngineFleet.announcement(0, 2, Phase.READY), () -> {});
+        Await.until("the upstream is used", () -> fleet.sendAndGetStatus(0, "POST", EngineFleet.BOOKING_PATH) == 200);
+    }
+
+    private AtomicBoolean leave(int index) {
+        AtomicBoolean acknowledged = new AtomicBoolean();
+        fleet.engine(index).leave("upstream-" + index, 0, () -> acknowledged.set(true));
+        return acknowledged;
+    }
+
+    // The pause between writes is 400 ms, so these take longer than any timeout of an acknowledgement.
+    private void awaitFailedWrites(int count) {
+        Await.until(
+                "writes of the row have failed",
+                () -> fleet.logLines().stream()
+                                .filter(line -> line.contains("row-write-failed"))
+                                .count()
+                        >= count);
+    }
+
+    private Phase storedPhase(int index) {
+        try {
+            return Phase.ofOrdinal(NodeRecord.parseFrom(fleet.table().value(NODES_TABLE, "node-" + index))
+                    .getUpstream()
+                    .getPhase());
+        } catch (InvalidProtocolBufferException malformed) {
+            throw new AssertionError("row of node-" + index + " is malformed", malformed);
+        }
+    }
+
+    private long millisOfStop() {
+        return fleet.logLines().stream()
+                .filter(line -> line.contains("\"stopped\""))
+                .map(line -> line.replaceAll(".*\"millis\":([0-9]+).*", "$1"))
+                .mapToLong(Long::parseLong)
+                .findFirst()
+                .orElseThrow();
+    }
+}
