Take no shed answer without the request's ID for a proof in the node

Same fault as in the engine, on the project's own path: an answer "not-run" of a backend server counted as a proof even without the ID of the request, and may be that of an earlier one. It is may-have-run now.

--- a/node/src/main/java/org/sardineshunt/node/backendserver/BackendServerClient.java
+++ b/node/src/main/java/org/sardineshunt/node/backendserver/BackendServerClient.java
@@ -159,7 +159,8 @@
                     Verdict.MAY_HAVE_RUN, Reason.ANSWER_TOO_LARGE, "the answer exceeds " + maximumBodyBytes + " bytes");
         }
         byte[] body = source.readByteArray();
-        if (response.code() == 503 && "not-run".equals(response.header(VERDICT_HEADER))) {
+        // Without the ID it may be the answer to an earlier request, while the backend server runs this one.
+        if (response.code() == 503 && answeredRequestId != null && "not-run".equals(response.header(VERDICT_HEADER))) {
             return Answers.failure(Verdict.NOT_RUN, Reason.BACKEND_SERVER_SHED, "the backend server shed the request");
         }
         boolean serverError = response.code() >= 500;
--- a/node/src/test/java/org/sardineshunt/node/backendserver/BackendServerClientTest.java
+++ b/node/src/test/java/org/sardineshunt/node/backendserver/BackendServerClientTest.java
@@ -76,11 +76,21 @@
     @Test
     void shedRequestHasNotRun() throws IOException {
         assertOutcome(
-                callServerThatSends("HTTP/1.1 503 Busy\r\nSardineshunt-Verdict: not-run\r\nContent-Length: 0\r\n\r\n"),
+                callServerThatSends("HTTP/1.1 503 Busy\r\nSardineshunt-Request-Id: own\r\n"
+                        + "Sardineshunt-Verdict: not-run\r\nContent-Length: 0\r\n\r\n"),
                 Verdict.NOT_RUN,
                 Reason.BACKEND_SERVER_SHED);
     }
 
+    /** Guards against a false not-run: the answer may be that of an earlier request. */
+    @Test
+    void shedAnswerWithoutTheRequestIdProvesNothing() throws IOException {
+        assertOutcome(
+                callServerThatSends("HTTP/1.1 503 Busy\r\nSardineshunt-Verdict: not-run\r\nContent-Length: 0\r\n\r\n"),
+                Verdict.MAY_HAVE_RUN,
+                Reason.SERVER_ERROR);
+    }
+
     @Test
     void errorWithoutVerdictHeaderMayHaveRun() throws IOException {
         assertOutcome(
