Deliver answers that arrived during a pause before the deadline ends them

Related to the freeze of an entry: callers of a node that stood still past a deadline got 504 although the answer waited in a socket, because the timer of the deadline came before what arrived was read.

A deadline that is handled more than 300 ms late follows a pause; the entry now reads for 300 ms before it ends the request. Ready answers are delivered, also late.

Evidence: EnginePauseTest.deliversAnAnswerThatArrivedDuringAPause failed on (504) and passes. Not changed: the timeouts of HTTP calls, which run on the loop that reads; that they can't come first after a pause isn't shown.

--- a/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
@@ -45,6 +45,10 @@
     // Subtracted from the caller's time, so that the response arrives before the caller stops waiting.
     private static final long ANSWER_MARGIN_MILLIS = 40;
 
+    // A timer that is later than this follows a pause of the process.
+    private static final long PAUSE_MILLIS = 300;
+    private static final long READ_AFTER_PAUSE_MILLIS = 300;
+
     private static final int MAXIMUM_FAILED_ATTEMPTS = 8;
     private static final double RETRY_BUDGET_CAPACITY = 3;
     private static final long REFUSING_HOME_AVOIDANCE_MILLIS = 150;
@@ -168,7 +172,7 @@
         }
         pendingRequests.add(pending);
         retryBudget(pending).recordFirstAttempt();
-        pending.deadlineTimer = control.after(Math.max(0, pending.deadlineMillis - now), () -> timeOut(pending));
+        pending.deadlineTimer = control.after(Math.max(0, pending.deadlineMillis - now), () -> handleDeadline(pending));
         exchange.onDisconnect(() -> control.execute(() -> handleDisconnect(pending)));
         dispatch(pending);
     }
@@ -366,6 +370,16 @@
         return (long) (Math.max(MINIMUM_RETRY_AFTER_MILLIS, shortestWaitMillis) * jitterFactor);
     }
 
+    // Answers that arrived during a pause are read only after the timers that fell due, and are delivered although
+    // late.
+    private void handleDeadline(PendingRequest pending) {
+        if (control.nowMillis() - pending.deadlineMillis > PAUSE_MILLIS) {
+            pending.deadlineTimer = control.after(READ_AFTER_PAUSE_MILLIS, () -> timeOut(pending));
+        } else {
+            timeOut(pending);
+        }
+    }
+
     private void timeOut(PendingRequest pending) {
         if (pending.ended) {
             return;
