End a process that gets SIGTERM before it has started

Seen by the review: a node that got SIGTERM within some 40 ms of its start failed with a NullPointerException in Engine.stop and ignored the signal until it was killed. An engine that has not started has nothing to finish, so its stop completes at once.

--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -92,6 +92,7 @@
     private final CrashingRequestDetector crashDetector =
             new CrashingRequestDetector(CRASH_LIMIT, CRASH_RETENTION_MILLIS);
     private volatile FleetConfiguration configuration;
+    private volatile boolean started;
     private volatile boolean ready;
     private volatile boolean stopping;
     private NodeDirectory directory;
@@ -157,6 +158,7 @@
         ownAddress = new PeerAddress(settings.nodeId(), settings.peerAddress().getHostString(), peerPort);
         int callerPort = callerServer.listen(trafficGroup, settings.callerAddress());
         control.execute(directory::start);
+        started = true;
         log.event("started")
                 .with("incarnation", incarnation)
                 .with("dataCentre", settings.dataCentre())
@@ -213,7 +215,8 @@
 
     /**
      * Stops the engine: its home refuses new attempts, requests in flight are finished within the stop timeout, and
-     * then all connections are closed. The event loops end with {@link #kill} or with the process.
+     * then all connections are closed. An engine that has not started yet has nothing to finish. The event loops end
+     * with {@link #kill} or with the process.
      *
      * @return completed on the control thread when the connections are closed
      */
@@ -221,6 +224,11 @@
         CompletableFuture<Void> stopped = new CompletableFuture<>();
         control.execute(() -> {
             stopping = true;
+            if (!started) {
+                log.event("stopped").with("cause", "not started yet").write();
+                stopped.complete(null);
+                return;
+            }
             long stopStartedMillis = control.nowMillis();
             log.event("stopping")
                     .with("requests", entry.inFlight())
--- a/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
@@ -72,6 +72,18 @@
     }
 
     Engine startEngine(int index) {
+        Engine engine = createEngine(index);
+        int port = engine.start(table);
+        if (index < callerPorts.size()) {
+            callerPorts.set(index, port);
+        } else {
+            callerPorts.add(port);
+        }
+        return engine;
+    }
+
+    /** Creates an engine that is not started. */
+    Engine createEngine(int index) {
         EngineSettings settings = new EngineSettings(
                 "node-" + index,
                 "dc-1",
@@ -81,14 +93,7 @@
                 new InetSocketAddress("127.0.0.1", 0),
                 HEADERS,
                 new EngineSettings.Limits(0.5, 1, 2_000, 3_000));
-        Engine engine = new Engine(settings, new EventLog("node-" + index, logLines::add), new MetricRegistry());
-        int port = engine.start(table);
-        if (index < callerPorts.size()) {
-            callerPorts.set(index, port);
-        } else {
-            callerPorts.add(port);
-        }
-        return engine;
+        return new Engine(settings, new EventLog("node-" + index, logLines::add), new MetricRegistry());
     }
 
     static Announcement announcement(int index, long sequence, Phase phase) {
--- a/engine/src/test/java/org/sardineshunt/engine/EngineStopTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineStopTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -71,6 +72,17 @@
                 everyItem(org.hamcrest.Matchers.containsString("connection: close")));
     }
 
+    /** Guards against a process that ignores SIGTERM for good because the signal came before the start had ended. */
+    @Test
+    void stopsBeforeItHasStarted() throws Exception {
+        Engine engine = fleet.createEngine(0);
+        try {
+            engine.stop().get(10, TimeUnit.SECONDS);
+        } finally {
+            engine.kill();
+        }
+    }
+
     private List<Caller> connect(int count) throws IOException {
         List<Caller> connected = new ArrayList<>();
         for (int index = 0; index < count; index++) {
