Ignore the departure of an earlier start when a row is restored

A node that recorded a departure keeps it until it has read that the table has a later state. A restarted node that asked it before that took the departure of the earlier start for the state of its upstream and waited for the next announcement of the later one. The row now wins if its start is later. Found by reading; the tests of EngineDepartureTest pass. Also renames a field after what it holds.

--- a/engine/src/main/java/org/sardineshunt/engine/AnnouncementAcknowledger.java
+++ b/engine/src/main/java/org/sardineshunt/engine/AnnouncementAcknowledger.java
@@ -40,7 +40,7 @@
     private final List<Waiting> waitingAnnouncements = new ArrayList<>();
     private Optional<Announcement> stored = Optional.empty();
     private Optional<Announcement> recordedByPeers = Optional.empty();
-    private Optional<Announcement> copied = Optional.empty();
+    private Optional<Announcement> sentToPeers = Optional.empty();
 
     AnnouncementAcknowledger(
             TimerService timers, EventLog log, String ownId, NodeDirectory directory, FleetHomeClient peers) {
@@ -67,8 +67,8 @@
         waitingAnnouncements.add(waiting);
         if (ready) {
             timers.after(READY_TIMEOUT_MILLIS, () -> acknowledgeIfWaiting(waiting));
-        } else if (copied.filter(current::equals).isEmpty()) {
-            copied = Optional.of(current);
+        } else if (sentToPeers.filter(current::equals).isEmpty()) {
+            sentToPeers = Optional.of(current);
             timers.after(TABLE_PATIENCE_MILLIS, () -> copyToPeers(current));
         }
     }
@@ -85,7 +85,7 @@
     }
 
     private void copyToPeers(Announcement departure) {
-        if (copied.filter(departure::equals).isEmpty() || isCovered(stored, departure)) {
+        if (sentToPeers.filter(departure::equals).isEmpty() || isCovered(stored, departure)) {
             return;
         }
         Frame message = Frame.newBuilder()
--- a/engine/src/main/java/org/sardineshunt/engine/UpstreamRestorer.java
+++ b/engine/src/main/java/org/sardineshunt/engine/UpstreamRestorer.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
 
@@ -87,16 +88,24 @@
     }
 
     private void handleAnswer(Announcement stored, Answer answer) {
-        if (answer.hasDeparted()) {
-            UpstreamRecords.tryDecode(answer.getDeparted())
-                    .peek(departed -> finish(departed, "other node"))
-                    .peekLeft(cause ->
-                            log.event("departure-ignored").with("cause", cause).write());
+        Optional<Announcement> departure = departure(answer).filter(departed -> !stored.supersedes(departed));
+        if (departure.isPresent()) {
+            finish(departure.get(), "other node");
         } else if (answer.getKnewPreviousProcess() && ++nodesWithoutDeparture == SUFFICIENT_ANSWERS) {
             finish(stored, "row");
         }
     }
 
+    private Optional<Announcement> departure(Answer answer) {
+        if (!answer.hasDeparted()) {
+            return Optional.empty();
+        }
+        return UpstreamRecords.tryDecode(answer.getDeparted())
+                .peekLeft(cause ->
+                        log.event("departure-ignored").with("cause", cause).write())
+                .toJavaOptional();
+    }
+
     private void handleEnd(Announcement stored) {
         if (restored) {
             return;
