Reuse the store's connections after an error response

Evidence: HttpClientTest.reusesAConnectionAfterAnErrorIfNoHeaderIsEchoed fails without the change and passes. Also rewords two comments.

--- a/coordination/src/main/java/org/sardineshunt/coordination/membership/SilenceDetector.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/membership/SilenceDetector.java
@@ -2,8 +2,7 @@
 
 /**
  * Judges by periodic checks whether a connection has become silent. A check that comes late follows a pause of this
- * process; what arrived meanwhile may be read only after it, so the silence is then measured anew, once. Not
- * thread-safe.
+ * process; what arrived meanwhile may be read only after it, so the silence then starts again, once. Not thread-safe.
  */
 public final class SilenceDetector {
     // Checks may be later than their period by this much without a pause.
--- a/engine/src/main/java/org/sardineshunt/engine/http/ClientConnection.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/ClientConnection.java
@@ -228,8 +228,9 @@
                 .map(entry -> new HttpHeader(entry.getKey(), entry.getValue()))
                 .toList();
         HttpResponseData response = new HttpResponseData(head.status().code(), headers, body.toByteArray());
-        if (response.status() >= FIRST_ERROR_STATUS) {
-            failedRequests.add(echoedValue(call.request()));
+        String echoedValue = echoedValue(call.request());
+        if (response.status() >= FIRST_ERROR_STATUS && echoedValue != null) {
+            failedRequests.add(echoedValue);
         }
         boolean reusable = HttpUtil.isKeepAlive(head)
                 && hasDelimitedBody(head)
--- a/engine/src/main/java/org/sardineshunt/engine/http/HttpClient.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/HttpClient.java
@@ -32,9 +32,9 @@
  * }</pre>
  *
  * <p>A connection is reused only after a complete, well-formed response to its own request that repeats the echoed
- * header, if there is one; bytes that arrive between two calls close it. A request that got an error response is not sent
- * again on the same connection, where a second copy of that response could not be told from the next one. Requests are never retried. Thread-safe; each
- * call reports one outcome, on the event loop.
+ * header, if there is one; bytes that arrive between two calls close it. A request that got an error response is not
+ * sent again on the same connection, where a second copy of that response could not be told from the next one. Requests
+ * are never retried. Thread-safe; each call reports one outcome, on the event loop.
  */
 public final class HttpClient implements AutoCloseable {
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
--- a/engine/src/main/java/org/sardineshunt/engine/peer/PeerLink.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/PeerLink.java
@@ -20,7 +20,7 @@
  * The client side of a connection to a peer. Confined to the control thread.
  *
  * <p>While calls are pending and no frame arrives, the link sends pings; if it stays silent it is closed and the calls
- * fail. After a pause of this process the silence is measured anew, because frames that arrived meanwhile are read only
+ * fail. After a pause of this process the silence starts again, because frames that arrived meanwhile are read only
  * after the timers that fell due.
  */
 final class PeerLink implements FrameChannel.Listener {
--- a/engine/src/test/java/org/sardineshunt/engine/http/HttpClientTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/http/HttpClientTest.java
@@ -269,6 +269,23 @@
         }
     }
 
+    @Test
+    void reusesAConnectionAfterAnErrorIfNoHeaderIsEchoed() throws Exception {
+        HttpClient clientWithoutEcho = new HttpClient((EventLoop) eventLoops.next(), "");
+        RawServer.Script script = connection -> {
+            connection.readRequest();
+            connection.write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+            connection.readRequest();
+            connection.write(response("", "done"));
+            connection.readRequest();
+        };
+        try (RawServer server = new RawServer(script)) {
+            send(clientWithoutEcho, server, "1").join();
+            assertThat(body(send(clientWithoutEcho, server, "1").join()), is("done"));
+            assertThat(server.accepted(), is(1));
+        }
+    }
+
     /** Guards against a success without its body: the upstream stopped in the middle of a head (MIXED, ORDER). */
     @ParameterizedTest
     @ValueSource(
