Add messages, settings and route fields for accounts and streamed bodies

The peer protocol gets optional fields and frames for accounts, tokens, configurations and streamed bodies; nodes state in their row which messages they understand, so that the build before is sent none of them. Settings get the resources of the process and the bounds of account limits.

--- a/coordination/src/main/java/org/sardineshunt/coordination/route/Route.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/route/Route.java
@@ -15,6 +15,7 @@
  * @param targetLatencyMillis time within which an answer is on time; 0 when unknown
  * @param rank order of urgency, 0 is the most urgent
  * @param shares services and their weights, at least one
+ * @param publicAccess whether requests need no key of a client account
  */
 public record Route(
         String name,
@@ -25,7 +26,8 @@
         long timeoutMillis,
         long targetLatencyMillis,
         int rank,
-        List<Share> shares) {
+        List<Share> shares,
+        boolean publicAccess) {
     /** Validates the values. */
     public Route {
         Objects.requireNonNull(name, "name");
--- a/coordination/src/test/java/org/sardineshunt/coordination/route/FleetConfigurationTest.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/route/FleetConfigurationTest.java
@@ -42,7 +42,7 @@
     @Test
     void sharesRequestsInProportionToTheWeights() {
         Route route = new Route(
-                "r", "h", "/", true, 1, 1_000, 0, 0, List.of(new Route.Share("s", 9), new Route.Share("t", 1)));
+                "r", "h", "/", true, 1, 1_000, 0, 0, List.of(new Route.Share("s", 9), new Route.Share("t", 1)), false);
         long toFirst = IntStream.range(0, 1_000)
                 .filter(index -> route.selectService(index / 1_000.0).equals("s"))
                 .count();
@@ -54,7 +54,7 @@
     }
 
     private static Route route(String name, String host, String prefix, String service) {
-        return new Route(name, host, prefix, true, 2, 1_000, 500, 1, List.of(new Route.Share(service, 1)));
+        return new Route(name, host, prefix, true, 2, 1_000, 500, 1, List.of(new Route.Share(service, 1)), false);
     }
 
     private static FleetConfiguration configuration(Route... routes) {
--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -308,8 +308,13 @@
     }
 
     private void publishOwnNode() {
-        KnownNode ownNode =
-                new KnownNode(ownAddress, incarnation, settings.dataCentre(), stopping, home.announcement());
+        KnownNode ownNode = new KnownNode(
+                ownAddress,
+                incarnation,
+                settings.dataCentre(),
+                stopping,
+                home.announcement(),
+                PeerNetwork.PROTOCOL_LEVEL);
         directory.publish(ownNode, () -> ownNode.upstream().ifPresent(acknowledger::recordStored));
     }
 
--- a/engine/src/main/java/org/sardineshunt/engine/peer/KnownNode.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/KnownNode.java
@@ -12,6 +12,12 @@
  * @param dataCentre data centre in which it runs
  * @param stopping whether it accepts no new requests
  * @param upstream last announcement of its local upstream; empty if there is none
+ * @param protocolLevel messages that it understands, see {@link PeerNetwork#PROTOCOL_LEVEL}
  */
 public record KnownNode(
-        PeerAddress address, long incarnation, String dataCentre, boolean stopping, Optional<Announcement> upstream) {}
+        PeerAddress address,
+        long incarnation,
+        String dataCentre,
+        boolean stopping,
+        Optional<Announcement> upstream,
+        int protocolLevel) {}
--- a/engine/src/main/java/org/sardineshunt/engine/peer/NodeDirectory.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/NodeDirectory.java
@@ -224,7 +224,8 @@
                     node.getIncarnation(),
                     node.getDataCentre(),
                     node.getStopping(),
-                    upstream));
+                    upstream,
+                    node.getProtocolLevel()));
         } catch (InvalidProtocolBufferException | IllegalArgumentException malformed) {
             log.event("row-ignored")
                     .with("table", TABLE)
@@ -242,7 +243,8 @@
                 .setHost(node.address().host())
                 .setPort(node.address().port())
                 .setDataCentre(node.dataCentre())
-                .setStopping(node.stopping());
+                .setStopping(node.stopping())
+                .setProtocolLevel(node.protocolLevel());
         node.upstream().ifPresent(upstream -> builder.setUpstream(UpstreamRecords.encode(upstream)));
         return builder.build().toByteArray();
     }
--- a/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
@@ -32,6 +32,9 @@
 
 /** Links to and from other nodes, opened on first use. Confined to the control thread except for {@link #listen}. */
 public final class PeerNetwork {
+    /** Level of this build: 0 for messages up to departure queries, 1 for streamed bodies, tokens and configurations. */
+    public static final int PROTOCOL_LEVEL = 1;
+
     /** Longest body of a request or an answer that a link carries. */
     public static final int MAXIMUM_BODY_BYTES = 8 << 20;
 
--- a/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
@@ -92,7 +92,9 @@
                 new InetSocketAddress("127.0.0.1", 0),
                 new InetSocketAddress("127.0.0.1", 0),
                 HEADERS,
-                new EngineSettings.Limits(0.5, 1, 2_000, 3_000));
+                new EngineSettings.Limits(0.5, 1, 2_000, 3_000, 0),
+                EngineSettings.Resources.DEFAULT,
+                EngineSettings.AccountBounds.DEFAULT);
         return new Engine(settings, new EventLog("node-" + index, logLines::add), new MetricRegistry());
     }
 
@@ -105,8 +107,18 @@
         return new FleetConfiguration(
                 version,
                 List.of(
-                        new Route("lookup", "h", LOOKUP_PATH, true, 2, timeoutMillis, TARGET_MILLIS, 1, shares),
-                        new Route("booking", "h", BOOKING_PATH, false, 2, timeoutMillis, TARGET_MILLIS, 0, shares)),
+                        new Route("lookup", "h", LOOKUP_PATH, true, 2, timeoutMillis, TARGET_MILLIS, 1, shares, false),
+                        new Route(
+                                "booking",
+                                "h",
+                                BOOKING_PATH,
+                                false,
+                                2,
+                                timeoutMillis,
+                                TARGET_MILLIS,
+                                0,
+                                shares,
+                                false)),
                 List.of(new FleetConfiguration.Service("service", "", 100)),
                 CallerLimits.DEFAULT);
     }
