Split EntryService into admission, request state and retry decision

What was missing: a request's state was some twenty mutable fields that EntryService set from everywhere, with one action that cancels "the" attempt. Hedging needs two attempts of one request in flight, client accounts need one place where a new request is accepted or refused, and the retry rules could only be tested through a whole engine.

Change, without a change of behaviour: - AdmittedRequest (record) holds what is fixed once a request is accepted. - PendingRequest is its state with named transitions (startAttempt, failAttempt, completeAttempt, cancelAttempts, end). Attempts in flight are kept by attempt ID, each with its own cancellation. An attempt stays in flight while its home is asked how it ended. - RequestAdmission decides on acceptance or refusal: configuration, route, crashing request, stop. It takes the time as an argument. - RetryDecision decides whether a failed attempt is repeated, and what the caller receives if not (error of an upstream, 503 with Retry-After, 502, 504). It owns the retry budgets. - EntryService connects them, and keeps log and metrics.

Two points differ in form only: timeOut no longer tests for a missing cancellation, which no home client returns, and the log of a failed attempt names that attempt's home instead of the last one, which is the same with one attempt in flight.

Why it works: the order of checks, uses of the random source, timers and calls is unchanged.

--- a/engine/src/main/java/org/sardineshunt/engine/caller/AttemptFactory.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/AttemptFactory.java
@@ -25,8 +25,8 @@
      * @param lastResort whether the home should run it although its upstream isn't healthy
      * @param leftMillis time left until the deadline
      */
-    Attempt create(PendingRequest pending, String attemptId, boolean lastResort, long leftMillis) {
-        HttpRequestData request = pending.exchange.request();
+    Attempt create(AdmittedRequest admitted, String attemptId, boolean lastResort, long leftMillis) {
+        HttpRequestData request = admitted.exchange().request();
         List<Header> forwardedHeaders = HttpHeader.endToEnd(request.headers()).stream()
                 .filter(header -> !settings.headers().isSetByEngine(header.name()))
                 .map(header -> Header.newBuilder()
@@ -36,10 +36,10 @@
                 .toList();
         return Attempt.newBuilder()
                 .setAttemptId(attemptId)
-                .setRequestId(pending.requestId)
-                .setService(pending.service)
-                .setRank(pending.rank)
-                .setIdempotent(pending.route.idempotent())
+                .setRequestId(admitted.requestId())
+                .setService(admitted.service())
+                .setRank(admitted.rank())
+                .setIdempotent(admitted.route().idempotent())
                 .setLeftMillis((int) leftMillis)
                 .setMethod(request.method())
                 .setTarget(request.target())
@@ -47,10 +47,10 @@
                 .setBody(ByteString.copyFrom(request.body()))
                 .setCallerService(settings.callerService())
                 .setLastResort(lastResort)
-                .setFingerprint(pending.fingerprint)
-                .setRoute(pending.route.name())
-                .setFromRunningRequest(pending.fromRunningRequest)
-                .setTargetMillis((int) pending.route.targetLatencyMillis())
+                .setFingerprint(admitted.fingerprint())
+                .setRoute(admitted.route().name())
+                .setFromRunningRequest(admitted.fromRunningRequest())
+                .setTargetMillis((int) admitted.route().targetLatencyMillis())
                 .build();
     }
 
--- a/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
@@ -1,9 +1,7 @@
 package org.sardineshunt.engine.caller;
 
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Random;
@@ -14,11 +12,9 @@
 import org.sardineshunt.coordination.Reason;
 import org.sardineshunt.coordination.Verdict;
 import org.sardineshunt.coordination.idempotency.AttemptId;
-import org.sardineshunt.coordination.idempotency.CrashingRequestDetector;
 import org.sardineshunt.coordination.limit.StopAdmission;
 import org.sardineshunt.coordination.placement.HomeView;
 import org.sardineshunt.coordination.placement.PlacementPolicy;
-import org.sardineshunt.coordination.retry.RetryBudget;
 import org.sardineshunt.coordination.route.FleetConfiguration;
 import org.sardineshunt.coordination.route.Route;
 import org.sardineshunt.engine.ControlEventLoop;
@@ -27,38 +23,27 @@
 import org.sardineshunt.engine.EventLog;
 import org.sardineshunt.engine.MetricRegistry;
 import org.sardineshunt.engine.http.HttpExchange;
-import org.sardineshunt.engine.http.HttpRequestData;
-import org.sardineshunt.engine.http.HttpResponseData;
 import org.sardineshunt.engine.peer.PeerFailure;
 import org.sardineshunt.engine.protocol.EngineMessages.Answer;
 import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
 import org.sardineshunt.engine.protocol.EngineMessages.Inquiry;
 
 /**
- * Receives callers' requests, sends each to a home, retries failed attempts where that is safe and responds. Confined
- * to the control thread, except {@link #handle}.
+ * Receives callers' requests, sends each to a home, retries failed attempts where that is safe and responds.
+ * {@link RequestAdmission} decides which requests are accepted, {@link RetryDecision} which attempts are retried.
+ * Confined to the control thread, except {@link #handle}.
  */
 public final class EntryService {
-    // With less time left until the deadline, no attempt is sent.
-    private static final long MINIMUM_LEFT_MILLIS = 20;
-
-    // Subtracted from the caller's time, so that the response arrives before the caller stops waiting.
-    private static final long ANSWER_MARGIN_MILLIS = 40;
-
     // A timer that is later than this follows a pause of the process.
     private static final long PAUSE_MILLIS = 300;
     private static final long READ_AFTER_PAUSE_MILLIS = 300;
 
-    private static final int MAXIMUM_FAILED_ATTEMPTS = 8;
-    private static final double RETRY_BUDGET_CAPACITY = 3;
     private static final long REFUSING_HOME_AVOIDANCE_MILLIS = 150;
-    private static final long NOT_READY_RETRY_AFTER_MILLIS = 500;
-
-    // A stopped node is back after this time if it is restarted at once.
-    private static final long RESTART_MILLIS = 1_500;
 
-    private static final long NO_UPSTREAM_RETRY_AFTER_MILLIS = 700;
-    private static final long MINIMUM_RETRY_AFTER_MILLIS = 200;
+    private static final PendingRequest.Failure NOT_SENT =
+            new PendingRequest.Failure(Verdict.NOT_RUN, Reason.NODE_UNREACHABLE, false);
+    private static final PendingRequest.Failure LINK_LOST =
+            new PendingRequest.Failure(Verdict.MAY_HAVE_RUN, Reason.LINK_LOST, true);
 
     private final ControlEventLoop control;
     private final EventLog log;
@@ -67,14 +52,12 @@
     private final HomeClient homeClient;
     private final HomeRegistry homeRegistry;
     private final PlacementPolicy placement;
-    private final CrashingRequestDetector crashDetector;
-    private final Supplier<Optional<FleetConfiguration>> configuration;
     private final Random random;
     private final EntryResponses responses;
     private final AttemptFactory attempts;
-    private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
+    private final RequestAdmission admission;
+    private final RetryDecision retryDecision;
     private final long incarnation;
-    private StopAdmission stopAdmission = StopAdmission.OPEN;
     private long lastAttemptNumber;
     private final Set<PendingRequest> pendingRequests = new LinkedHashSet<>();
 
@@ -96,7 +79,6 @@
         log = context.log();
         metrics = context.metrics();
         settings = context.settings();
-        crashDetector = context.crashDetector();
         random = context.random();
         incarnation = context.incarnation();
         attempts = new AttemptFactory(settings);
@@ -104,7 +86,14 @@
         this.homeClient = homeClient;
         this.homeRegistry = homeRegistry;
         this.placement = placement;
-        this.configuration = configuration;
+        admission = new RequestAdmission(
+                settings.headers(),
+                context.crashDetector(),
+                configuration,
+                homeClient::rankOfRunningRequest,
+                random::nextDouble);
+        retryDecision = new RetryDecision(
+                context.crashDetector(), responses, settings.limits().retryShare(), random::nextDouble);
     }
 
     /** Starts to serve a request; may be called on any thread. */
@@ -118,8 +107,8 @@
     }
 
     /** Takes only requests that the given decision allows, because the process is stopping. */
-    public void limitForStop(StopAdmission admission) {
-        stopAdmission = admission;
+    public void limitForStop(StopAdmission stopAdmission) {
+        admission.limitForStop(stopAdmission);
     }
 
     /** Ends all requests that have no response yet as timed out, because the process ends before their deadlines. */
@@ -128,97 +117,58 @@
     }
 
     private void accept(HttpExchange exchange) {
-        HttpRequestData request = exchange.request();
-        String requestId = request.header(settings.headers().requestId()).orElse("");
-        Optional<FleetConfiguration> current = configuration.get();
-        if (current.isEmpty()) {
-            refuse(
-                    exchange,
-                    requestId,
-                    Reason.NOT_READY,
-                    NOT_READY_RETRY_AFTER_MILLIS,
-                    "no configuration has been received");
-            return;
-        }
-        Optional<Route> route = current.get().match(request.header("host").orElse(""), request.path());
-        if (route.isEmpty()) {
-            String detail =
-                    "no route found in configuration version " + current.get().version();
-            refuse(exchange, requestId, Reason.NO_ROUTE, 0, detail);
-            return;
-        }
-        long fingerprint = AttemptFactory.fingerprint(request);
-        long now = control.nowMillis();
-        if (crashDetector.mustRefuse(now, String.valueOf(fingerprint))) {
-            refuse(exchange, requestId, Reason.CRASHING_REQUEST, 0, Long.toHexString(fingerprint));
-            return;
-        }
-        PendingRequest pending = new PendingRequest(
-                exchange, requestId, route.get(), current.get().version(), now, fingerprint);
-        pending.service = route.get().selectService(random.nextDouble());
-        // A request that makes a call holds a slot until the call is answered, so the call has the rank of that
-        // request.
-        OptionalInt rankOfCaller = settings.headers()
-                .parentRequestId(requestId)
-                .map(homeClient::rankOfRunningRequest)
-                .orElse(OptionalInt.empty());
-        pending.fromRunningRequest = rankOfCaller.isPresent();
-        pending.rank = rankOfCaller.orElse(route.get().rank());
-        pending.deadlineMillis = now - exchange.millisSinceReceived() + timeLeftMillis(request, route.get());
-        if (!stopAdmission.takes(now, pending.deadlineMillis)) {
-            long retryAfterMillis = stopAdmission.millisUntilEnd(now) + RESTART_MILLIS;
-            refuse(exchange, requestId, Reason.SHUTTING_DOWN, retryAfterMillis, "the node stops before the response");
-            return;
-        }
-        pendingRequests.add(pending);
-        retryBudget(pending).recordFirstAttempt();
-        pending.deadlineTimer = control.after(Math.max(0, pending.deadlineMillis - now), () -> handleDeadline(pending));
-        exchange.onDisconnect(() -> control.execute(() -> handleDisconnect(pending)));
-        dispatch(pending);
+        admission
+                .decide(control.nowMillis(), exchange)
+                .peek(this::start)
+                .peekLeft(refusal -> refuse(exchange, refusal));
     }
 
-    // The caller's time less the margin, at most the route's timeout; a malformed header counts as missing.
-    private long timeLeftMillis(HttpRequestData request, Route route) {
-        long callerLeftMillis = request.header(settings.headers().timeLeft())
-                .filter(value -> !value.isEmpty() && value.length() < 10)
-                .filter(value -> value.chars().allMatch(Character::isDigit))
-                .map(Long::parseLong)
-                .orElse(route.timeoutMillis() + ANSWER_MARGIN_MILLIS);
-        return Math.max(1, Math.min(callerLeftMillis - ANSWER_MARGIN_MILLIS, route.timeoutMillis()));
+    private void start(AdmittedRequest request) {
+        PendingRequest pending = new PendingRequest(request);
+        pendingRequests.add(pending);
+        retryDecision.recordRequest(request);
+        pending.setDeadlineTimer(control.after(
+                Math.max(0, request.deadlineMillis() - request.startedMillis()), () -> handleDeadline(pending)));
+        request.exchange().onDisconnect(() -> control.execute(() -> handleDisconnect(pending)));
+        dispatch(pending);
     }
 
     private void dispatch(PendingRequest pending) {
-        long leftMillis = pending.deadlineMillis - control.nowMillis();
-        if (leftMillis < MINIMUM_LEFT_MILLIS) {
+        long leftMillis = pending.request().deadlineMillis() - control.nowMillis();
+        if (!retryDecision.hasTimeForAttempt(leftMillis)) {
             giveUp(pending);
             return;
         }
         Optional<PlacementPolicy.Choice> choice = placement.choose(
-                homeRegistry.homes(pending.service, pending.rank, pending.fromRunningRequest),
-                pending.triedHomes,
-                requirements(pending),
+                homes(pending.request()),
+                pending.triedHomes(),
+                requirements(pending.request().route()),
                 random::nextDouble);
-        if (choice.isEmpty() || pending.failedAttempts > MAXIMUM_FAILED_ATTEMPTS) {
+        if (choice.isEmpty() || retryDecision.hasTooManyFailures(pending)) {
             giveUp(pending);
             return;
         }
         sendAttempt(pending, choice.get(), leftMillis);
     }
 
-    private static PlacementPolicy.Requirements requirements(PendingRequest pending) {
-        return new PlacementPolicy.Requirements(pending.route.idempotent(), pending.route.targetLatencyMillis());
+    private List<HomeView> homes(AdmittedRequest request) {
+        return homeRegistry.homes(request.service(), request.rank(), request.fromRunningRequest());
+    }
+
+    private static PlacementPolicy.Requirements requirements(Route route) {
+        return new PlacementPolicy.Requirements(route.idempotent(), route.targetLatencyMillis());
     }
 
     private void sendAttempt(PendingRequest pending, PlacementPolicy.Choice choice, long leftMillis) {
+        AdmittedRequest request = pending.request();
         HomeView home = choice.home();
         String homeId = home.nodeId();
         String attemptId = new AttemptId(settings.nodeId(), incarnation, ++lastAttemptNumber).toString();
-        pending.triedHomes.add(homeId);
-        pending.lastHomeId = homeId;
-        pending.sentAttempts++;
+        PendingRequest.SentAttempt attempt = new PendingRequest.SentAttempt(attemptId, homeId);
+        pending.startAttempt(attempt);
         homeRegistry.recordSent(homeId);
         log.event("attempt-sent")
-                .with("request", pending.requestId)
+                .with("request", request.requestId())
                 .with("attempt", attemptId)
                 .with("home", homeId)
                 .with("condition", home.condition().name())
@@ -229,223 +179,168 @@
                 .with("avoided", home.avoided())
                 .with("leftMillis", leftMillis)
                 .write();
-        Attempt attempt = attempts.create(pending, attemptId, choice.lastResort(), leftMillis);
-        pending.cancelAttempt = homeClient.attempt(homeId, attempt, result -> {
+        Attempt message = attempts.create(request, attemptId, choice.lastResort(), leftMillis);
+        Runnable cancellation = homeClient.attempt(homeId, message, result -> {
             homeRegistry.recordEnded(homeId);
-            result.peek(answer -> handleAnswer(pending, homeId, answer))
-                    .peekLeft(failure -> handleLinkFailure(pending, homeId, attemptId, failure));
+            result.peek(answer -> handleAnswer(pending, attempt, answer))
+                    .peekLeft(failure -> handleLinkFailure(pending, attempt, failure));
         });
+        pending.setCancellation(attempt, cancellation);
     }
 
-    private void handleLinkFailure(PendingRequest pending, String homeId, String attemptId, PeerFailure failure) {
+    private void handleLinkFailure(
+            PendingRequest pending, PendingRequest.SentAttempt attempt, PeerFailure linkFailure) {
+        AdmittedRequest request = pending.request();
         log.event("home-unreachable")
-                .with("request", pending.requestId)
-                .with("home", homeId)
-                .with("sent", failure.sent())
-                .with("cause", failure.detail())
+                .with("request", request.requestId())
+                .with("home", attempt.homeId())
+                .with("sent", linkFailure.sent())
+                .with("cause", linkFailure.detail())
                 .write();
-        if (pending.ended) {
+        if (pending.hasEnded()) {
             return;
         }
-        if (!failure.sent()) {
-            handleFailure(pending, Verdict.NOT_RUN, Reason.NODE_UNREACHABLE, false);
+        if (!linkFailure.sent()) {
+            handleFailure(pending, attempt, NOT_SENT);
             return;
         }
-        if (pending.route.idempotent()) {
-            handleFailure(pending, Verdict.MAY_HAVE_RUN, Reason.LINK_LOST, true);
+        if (request.route().idempotent()) {
+            handleFailure(pending, attempt, LINK_LOST);
             return;
         }
         // An attempt that may have run can't be repeated unless it is idempotent, so its home is asked how it ended.
         Inquiry inquiry = Inquiry.newBuilder()
-                .setAttemptId(attemptId)
-                .setLeftMillis((int) Math.max(1, pending.deadlineMillis - control.nowMillis()))
-                .setHomeIncarnation(failure.incarnation())
+                .setAttemptId(attempt.attemptId())
+                .setLeftMillis((int) Math.max(1, request.deadlineMillis() - control.nowMillis()))
+                .setHomeIncarnation(linkFailure.incarnation())
                 .build();
-        homeClient.inquire(homeId, inquiry, result -> result.peek(answer -> handleAnswer(pending, homeId, answer))
-                .peekLeft(inquiryFailure -> handleFailure(pending, Verdict.MAY_HAVE_RUN, Reason.LINK_LOST, true)));
+        homeClient.inquire(
+                attempt.homeId(), inquiry, result -> result.peek(answer -> handleAnswer(pending, attempt, answer))
+                        .peekLeft(inquiryFailure -> handleFailure(pending, attempt, LINK_LOST)));
     }
 
-    private void handleAnswer(PendingRequest pending, String homeId, Answer answer) {
+    private void handleAnswer(PendingRequest pending, PendingRequest.SentAttempt attempt, Answer answer) {
         if (answer.hasLoad()) {
-            homeRegistry.recordLoad(homeId, answer.getLoad());
+            homeRegistry.recordLoad(attempt.homeId(), answer.getLoad());
         }
-        if (pending.ended) {
+        if (pending.hasEnded()) {
             return;
         }
         Verdict verdict = Verdict.ofOrdinal(answer.getVerdict()).orElse(Verdict.MAY_HAVE_RUN);
         Reason reason = Reason.ofPeerLabel(answer.getReason());
         if (verdict == Verdict.RAN && reason == Reason.NONE) {
-            respond(pending, verdict, reason, EntryResponses.fromUpstream(answer));
+            pending.completeAttempt(attempt);
+            respond(pending, new RetryDecision.Outcome(verdict, reason, EntryResponses.fromUpstream(answer)));
             return;
         }
         if (verdict == Verdict.RAN) {
-            pending.errorAnswer = answer;
+            pending.recordErrorAnswer(answer);
         } else if (!answer.getOffered()) {
-            homeRegistry.avoid(homeId, REFUSING_HOME_AVOIDANCE_MILLIS);
+            homeRegistry.avoid(attempt.homeId(), REFUSING_HOME_AVOIDANCE_MILLIS);
         }
-        handleFailure(pending, verdict, reason, answer.getOffered());
+        handleFailure(pending, attempt, new PendingRequest.Failure(verdict, reason, answer.getOffered()));
     }
 
-    private void handleFailure(PendingRequest pending, Verdict verdict, Reason reason, boolean offered) {
-        if (pending.ended) {
+    private void handleFailure(
+            PendingRequest pending, PendingRequest.SentAttempt attempt, PendingRequest.Failure failure) {
+        if (pending.hasEnded()) {
             return;
         }
-        pending.lastReason = reason;
-        pending.failedAttempts++;
-        if (offered) {
-            pending.offeredAttempts++;
-        }
-        if (verdict != Verdict.NOT_RUN) {
-            pending.verdictSoFar = Verdict.MAY_HAVE_RUN;
-        }
-        // An attempt that wasn't offered to an upstream is repeated elsewhere without counting as a retry.
-        Optional<String> objection = offered ? retryObjection(pending, verdict) : Optional.empty();
+        pending.failAttempt(attempt, failure);
+        Optional<String> objection = retryDecision.objection(control.nowMillis(), pending, failure);
         if (objection.isEmpty()) {
-            metrics.count("retries", reason.label());
+            metrics.count("retries", failure.reason().label());
             log.event("attempt-again")
-                    .with("request", pending.requestId)
-                    .with("home", pending.lastHomeId)
-                    .with("reason", reason.label())
-                    .with("verdict", verdict.label())
-                    .with("attempts", pending.sentAttempts)
+                    .with("request", pending.request().requestId())
+                    .with("home", attempt.homeId())
+                    .with("reason", failure.reason().label())
+                    .with("verdict", failure.verdict().label())
+                    .with("attempts", pending.sentAttempts())
                     .write();
             dispatch(pending);
         } else {
             metrics.count("retries_refused", objection.get());
             log.event("not-repeated")
-                    .with("request", pending.requestId)
-                    .with("home", pending.lastHomeId)
-                    .with("reason", reason.label())
-                    .with("verdict", verdict.label())
+                    .with("request", pending.request().requestId())
+                    .with("home", attempt.homeId())
+                    .with("reason", failure.reason().label())
+                    .with("verdict", failure.verdict().label())
                     .with("objection", objection.get())
-                    .with("offered", pending.offeredAttempts)
+                    .with("offered", pending.offeredAttempts())
                     .write();
             giveUp(pending);
         }
     }
 
-    /** Returns why a request must not be retried; empty if it may be, and then takes a retry from the budget. */
-    private Optional<String> retryObjection(PendingRequest pending, Verdict verdict) {
-        long now = control.nowMillis();
-        if (verdict != Verdict.NOT_RUN && !pending.route.idempotent()) {
-            return Optional.of("not-idempotent");
-        }
-        if (pending.offeredAttempts >= pending.route.maximumAttempts()) {
-            return Optional.of("attempts-used");
-        }
-        if (pending.deadlineMillis - now <= MINIMUM_LEFT_MILLIS) {
-            return Optional.of("no-time-left");
-        }
-        if (crashDetector.isSuspect(now, String.valueOf(pending.fingerprint))) {
-            return Optional.of("suspect");
-        }
-        return retryBudget(pending).tryAcquireRetry() ? Optional.empty() : Optional.of("retry-budget");
-    }
-
     private void giveUp(PendingRequest pending) {
-        if (pending.errorAnswer != null) {
-            respond(pending, Verdict.RAN, Reason.SERVER_ERROR, EntryResponses.fromUpstream(pending.errorAnswer));
-        } else if (pending.verdictSoFar == Verdict.NOT_RUN) {
-            respond(
-                    pending,
-                    Verdict.NOT_RUN,
-                    pending.lastReason,
-                    responses.error(pending.requestId, 503, retryAfterMillis(pending)));
-        } else {
-            respond(pending, Verdict.MAY_HAVE_RUN, pending.lastReason, responses.error(pending.requestId, 502, 0));
-        }
-    }
-
-    private long retryAfterMillis(PendingRequest pending) {
-        if (pending.lastReason == Reason.NO_UPSTREAM) {
-            return NO_UPSTREAM_RETRY_AFTER_MILLIS;
-        }
-        double shortestWaitMillis =
-                homeRegistry.homes(pending.service, pending.rank, pending.fromRunningRequest).stream()
-                        .mapToDouble(HomeView::expectedWaitMillis)
-                        .min()
-                        .orElse(NO_UPSTREAM_RETRY_AFTER_MILLIS);
-        // Varied by up to a quarter, so that refused callers don't all return at the same time.
-        double jitterFactor = 0.75 + random.nextDouble() / 2;
-        return (long) (Math.max(MINIMUM_RETRY_AFTER_MILLIS, shortestWaitMillis) * jitterFactor);
+        respond(pending, retryDecision.giveUp(pending, () -> homes(pending.request())));
     }
 
     // Answers that arrived during a pause are read only after the timers that fell due, and are delivered although
     // late.
     private void handleDeadline(PendingRequest pending) {
-        if (control.nowMillis() - pending.deadlineMillis > PAUSE_MILLIS) {
-            pending.deadlineTimer = control.after(READ_AFTER_PAUSE_MILLIS, () -> timeOut(pending));
+        if (control.nowMillis() - pending.request().deadlineMillis() > PAUSE_MILLIS) {
+            pending.setDeadlineTimer(control.after(READ_AFTER_PAUSE_MILLIS, () -> timeOut(pending)));
         } else {
             timeOut(pending);
         }
     }
 
     private void timeOut(PendingRequest pending) {
-        if (pending.ended) {
+        if (pending.hasEnded()) {
             return;
         }
-        boolean neverSent = pending.sentAttempts == 0 || pending.cancelAttempt == null;
-        pending.cancelAttempt.run();
-        if (pending.errorAnswer != null) {
-            giveUp(pending);
-            return;
-        }
-        Verdict verdict = neverSent ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
-        respond(pending, verdict, Reason.DEADLINE_PASSED, responses.error(pending.requestId, 504, 0));
+        pending.cancelAttempts();
+        respond(pending, retryDecision.timeOut(pending));
     }
 
     private void handleDisconnect(PendingRequest pending) {
-        if (pending.ended) {
+        if (pending.hasEnded()) {
             return;
         }
-        pending.cancelAttempt.run();
-        pending.ended = true;
-        pending.deadlineTimer.cancel();
+        pending.cancelAttempts();
+        pending.end();
         pendingRequests.remove(pending);
         metrics.count("requests", "caller-left");
         log.event("caller-left")
-                .with("request", pending.requestId)
-                .with("home", pending.lastHomeId)
-                .with("millis", control.nowMillis() - pending.startedMillis)
+                .with("request", pending.request().requestId())
+                .with("home", pending.lastHomeId())
+                .with("millis", control.nowMillis() - pending.request().startedMillis())
                 .write();
     }
 
-    private void respond(PendingRequest pending, Verdict verdict, Reason reason, HttpResponseData response) {
-        pending.ended = true;
-        pending.deadlineTimer.cancel();
+    private void respond(PendingRequest pending, RetryDecision.Outcome outcome) {
+        AdmittedRequest request = pending.request();
+        pending.end();
         pendingRequests.remove(pending);
-        pending.exchange.respond(response);
-        long millis = control.nowMillis() - pending.startedMillis;
-        metrics.count("requests", reason.label());
-        metrics.observe("request_seconds", pending.service, millis);
+        request.exchange().respond(outcome.response());
+        long millis = control.nowMillis() - request.startedMillis();
+        metrics.count("requests", outcome.reason().label());
+        metrics.observe("request_seconds", request.service(), millis);
         log.event("answered")
-                .with("request", pending.requestId)
-                .with("route", pending.route.name())
-                .with("service", pending.service)
-                .with("version", pending.configurationVersion)
-                .with("home", pending.lastHomeId)
-                .with("attempts", pending.sentAttempts)
-                .with("status", response.status())
-                .with("verdict", verdict.label())
-                .with("reason", reason.label())
+                .with("request", request.requestId())
+                .with("route", request.route().name())
+                .with("service", request.service())
+                .with("version", request.configurationVersion())
+                .with("home", pending.lastHomeId())
+                .with("attempts", pending.sentAttempts())
+                .with("status", outcome.response().status())
+                .with("verdict", outcome.verdict().label())
+                .with("reason", outcome.reason().label())
                 .with("millis", millis)
                 .write();
     }
 
-    private void refuse(HttpExchange exchange, String requestId, Reason reason, long retryAfterMillis, String detail) {
-        metrics.count("requests", reason.label());
+    private void refuse(HttpExchange exchange, RequestAdmission.Refusal refusal) {
+        String requestId = admission.requestId(exchange.request());
+        metrics.count("requests", refusal.reason().label());
         log.event("refused")
                 .with("request", requestId)
-                .with("reason", reason.label())
+                .with("reason", refusal.reason().label())
                 .with("path", exchange.request().path())
-                .with("detail", detail)
+                .with("detail", refusal.detail())
                 .write();
-        exchange.respond(responses.error(requestId, reason.httpStatus(), retryAfterMillis));
-    }
-
-    private RetryBudget retryBudget(PendingRequest pending) {
-        return retryBudgets.computeIfAbsent(
-                pending.service, service -> new RetryBudget(settings.limits().retryShare(), RETRY_BUDGET_CAPACITY));
+        exchange.respond(responses.error(requestId, refusal.reason().httpStatus(), refusal.retryAfterMillis()));
     }
 
     /** Calls homes, on this node or on others. Callbacks run on the control thread. */
