Decode client accounts and decide which requests they may send

Callers with and without a key were served alike: the configuration's accounts were ignored.

CallerAuthorization decides on key, route, rank and calls of running requests; ConfigurationTracker confirms that the configuration is the newest by one shared read, and fetches a newer one from a peer if the store doesn't give it. The requests don't pass through them yet; that follows with the new EntryService.

Tests run: AccountDirectoryTest, RunningRequestsTest, CallerAuthorizationTest, ConfigurationDecoderTest, PlatformNamesTest, LayeringTest: all pass.

--- a/coordination/src/main/java/org/sardineshunt/coordination/Reason.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/Reason.java
@@ -30,6 +30,14 @@
     CLAIM_LIMIT("claim-limit", 503),
     /** The client account sends more requests than it may. */
     ACCOUNT_LIMIT("account-limit", 429),
+    /** The request has no key, or one that belongs to no client account, and the route isn't public. */
+    KEY_UNKNOWN("key-unknown", 401),
+    /** The key was removed from the client account after the entry had accepted the request. */
+    KEY_REVOKED("key-revoked", 401),
+    /** The request would be refused, but the node can't confirm that its configuration is the newest. */
+    CONFIGURATION_UNCONFIRMED("configuration-unconfirmed", 503),
+    /** The request has no key, and the request that it claims to be a call of doesn't run here or made too many calls. */
+    PARENT_NOT_RUNNING("parent-not-running", 503),
     /** The node can't serve requests yet. */
     NOT_READY("not-ready", 503),
     /** The node is stopping. */
--- /dev/null
+++ b/coordination/src/main/java/org/sardineshunt/coordination/account/package-info.java
@@ -0,0 +1,2 @@
+/** Client accounts: their keys, and the limits on how many requests they may send. */
+package org.sardineshunt.coordination.account;
--- a/coordination/src/main/java/org/sardineshunt/coordination/route/FleetConfiguration.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/route/FleetConfiguration.java
@@ -7,8 +7,10 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 
+import org.sardineshunt.coordination.account.AccountDirectory;
+
 /**
- * Routes, services and limits of one version of the configuration. Immutable and thread-safe.
+ * Routes, services, limits and client accounts of one version of the configuration. Immutable and thread-safe.
  *
  * <pre>{@code
  * Optional<Route> route = configuration.match("shop.example:8080", "/orders/17");
@@ -19,17 +21,35 @@
     private final Map<String, List<Route>> routesByHost;
     private final Map<String, Service> services;
     private final CallerLimits limits;
+    private final Optional<AccountDirectory> accounts;
     private final int routeCount;
 
     /**
-     * Creates a configuration.
+     * Creates a configuration without client accounts.
      *
      * @param version increases with each accepted change
      * @throws IllegalArgumentException if a route names a service that isn't listed
      */
     public FleetConfiguration(long version, List<Route> routes, List<Service> services, CallerLimits limits) {
+        this(version, routes, services, limits, Optional.empty());
+    }
+
+    /**
+     * Creates a configuration.
+     *
+     * @param version increases with each accepted change
+     * @param accounts client accounts; empty if no request needs a key
+     * @throws IllegalArgumentException if a route names a service that isn't listed
+     */
+    public FleetConfiguration(
+            long version,
+            List<Route> routes,
+            List<Service> services,
+            CallerLimits limits,
+            Optional<AccountDirectory> accounts) {
         this.version = version;
         this.limits = limits;
+        this.accounts = accounts;
         this.services = services.stream().collect(Collectors.toUnmodifiableMap(Service::name, service -> service));
         routes.forEach(this::checkServices);
         routeCount = routes.size();
@@ -55,6 +75,11 @@
         return limits;
     }
 
+    /** Returns the client accounts; empty if no request needs a key. */
+    public Optional<AccountDirectory> accounts() {
+        return accounts;
+    }
+
     /** Returns the service with a name. */
     public Optional<Service> service(String name) {
         return Optional.ofNullable(services.get(name));
--- a/engine/src/main/java/org/sardineshunt/engine/RequestHeaders.java
+++ b/engine/src/main/java/org/sardineshunt/engine/RequestHeaders.java
@@ -1,8 +1,7 @@
 package org.sardineshunt.engine;
 
-import java.util.Locale;
 import java.util.Optional;
-import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * Names of the HTTP headers that the engine reads and sets. Immutable and thread-safe.
@@ -13,6 +12,8 @@
  * @param callerService service of the upstream that is local to the request's entry
  * @param notRun present if an upstream refused the request without running it
  * @param signature proves that a response comes from an upstream
+ * @param accountKey carries the key of the caller's client account
+ * @param accountName name of the client account that the key belongs to
  * @param parentIdSeparator text between the ID of a running request and the rest of the ID of a call that it makes;
  *     empty if IDs don't contain the ID of the parent request
  */
@@ -23,6 +24,8 @@
         String callerService,
         String notRun,
         String signature,
+        String accountKey,
+        String accountName,
         String parentIdSeparator) {
     /** Returns the ID of the request that makes a call, given the call's own ID; empty if it contains none. */
     public Optional<String> parentRequestId(String requestId) {
@@ -32,7 +35,6 @@
 
     /** Returns whether the engine replaces a caller's header of this name, in upper or lower case, by its own. */
     public boolean isSetByEngine(String name) {
-        return Set.of(timeLeft, expectedUpstream, callerService).stream()
-                .anyMatch(headerName -> headerName.toLowerCase(Locale.ROOT).equals(name.toLowerCase(Locale.ROOT)));
+        return Stream.of(timeLeft, expectedUpstream, callerService, accountName).anyMatch(name::equalsIgnoreCase);
     }
 }
--- a/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
@@ -33,8 +33,16 @@
     // So long that each failure in a test counts as a fast one, however slowly the test runs.
     private static final long TARGET_MILLIS = 600_000;
     private static final long UPSTREAM_STARTED_EPOCH_MILLIS = 1_000;
-    private static final RequestHeaders HEADERS =
-            new RequestHeaders("X-Request", "X-Left", "X-Expected", "X-Caller", "X-Not-Run", "X-Signature", "/");
+    private static final RequestHeaders HEADERS = new RequestHeaders(
+            "X-Request",
+            "X-Left",
+            "X-Expected",
+            "X-Caller",
+            "X-Not-Run",
+            "X-Signature",
+            "Authorization",
+            "X-Account",
+            "/");
 
     private final EventLoopGroup eventLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final HttpClient client = new HttpClient((EventLoop) eventLoops.next(), "X-Request");
