--- a/coordination/src/main/java/org/sardineshunt/coordination/Reason.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/Reason.java
@@ -74,6 +74,8 @@
     ANSWER_CROSSED("answer-crossed", 502),
     /** The answer exceeds the size limit. */
     ANSWER_TOO_LARGE("answer-too-large", 502),
+    /** The memory for buffered bodies and responses is short. */
+    MEMORY_SHORT("memory-short", 503),
     /** The backend server answered with a status of 500 or above. */
     SERVER_ERROR("server-error", 502),
     /** Another node gave a reason that this version doesn't know. */
--- a/coordination/src/main/java/org/sardineshunt/coordination/RendezvousHashing.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/RendezvousHashing.java
@@ -32,11 +32,24 @@
 
     /** Returns a well-mixed 64-bit hash of a text (FNV-1a over its UTF-16 code units), the same on every node. */
     public static long hash(String text) {
-        long hash = FNV_OFFSET;
+        return mix(addText(FNV_OFFSET, text));
+    }
+
+    /** Returns the hash of a text that is followed by one code unit for each byte, without building that text. */
+    public static long hash(String text, byte[] bytes) {
+        long hash = addText(FNV_OFFSET, text);
+        for (byte next : bytes) {
+            hash = (hash ^ (next & 0xff)) * FNV_PRIME;
+        }
+        return mix(hash);
+    }
+
+    private static long addText(long start, String text) {
+        long hash = start;
         for (int index = 0; index < text.length(); index++) {
             hash = (hash ^ text.charAt(index)) * FNV_PRIME;
         }
-        return mix(hash);
+        return hash;
     }
 
     /** Returns a value with its bits well mixed (the 64-bit finalizer of MurmurHash3). */
--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -18,17 +18,18 @@
 import org.sardineshunt.coordination.announcement.DepartureRegistry;
 import org.sardineshunt.coordination.idempotency.CrashingRequestDetector;
 import org.sardineshunt.coordination.limit.StopAdmission;
+import org.sardineshunt.coordination.memory.MemoryBudget;
 import org.sardineshunt.coordination.placement.PlacementPolicy;
 import org.sardineshunt.coordination.rotation.Rotation;
 import org.sardineshunt.coordination.route.FleetConfiguration;
 import org.sardineshunt.coordination.route.FleetConfiguration.CallerLimits;
-import org.sardineshunt.coordination.route.Route;
 import org.sardineshunt.engine.backendserver.HomeService;
+import org.sardineshunt.engine.caller.CallerRules;
 import org.sardineshunt.engine.caller.EntryService;
 import org.sardineshunt.engine.caller.HomeRegistry;
 import org.sardineshunt.engine.http.HttpClient;
-import org.sardineshunt.engine.http.HttpRequestData;
 import org.sardineshunt.engine.http.HttpServer;
+import org.sardineshunt.engine.http.ServerResources;
 import org.sardineshunt.engine.peer.KnownNode;
 import org.sardineshunt.engine.peer.NodeDirectory;
 import org.sardineshunt.engine.peer.PeerAddress;
@@ -74,6 +75,19 @@
     private static final long SHUTDOWN_QUIET_PERIOD_MILLIS = 50;
     private static final long SHUTDOWN_TIMEOUT_MILLIS = 500;
 
+    // Share of the heap that buffers bodies and responses, but at most the given share of the process's memory. The
+    // rest
+    // is for the engine's own objects and for the garbage between two collections.
+    private static final double BUFFER_SHARE_OF_HEAP = 0.4;
+    private static final double BUFFER_SHARE_OF_MEMORY = 0.25;
+
+    // Descriptors for files, and the share of the others that callers' connections may use. The rest is for links to
+    // other nodes, the store and the upstream.
+    private static final int RESERVED_DESCRIPTORS = 200;
+    private static final double CALLER_SHARE_OF_DESCRIPTORS = 0.7;
+    private static final int MINIMUM_CALLER_CONNECTIONS = 16;
+    private static final long REPEATED_EVENT_MILLIS = 1_000;
+
     // Callers may take this long to notice that the node isn't ready, and send new requests until then.
     private static final long STOP_MAXIMUM_DETECTION_MILLIS = 2_300;
 
@@ -85,6 +99,7 @@
     private final EventLoopGroup controlGroup;
     private final EventLoopGroup trafficGroup;
     private final ControlEventLoop control;
+    private final MemoryBudget memory;
     private final HttpClient upstreamClient;
     private final PeerNetwork network;
     private final HttpServer callerServer;
@@ -95,6 +110,7 @@
     private volatile boolean started;
     private volatile boolean ready;
     private volatile boolean stopping;
+    private long connectionLimitLoggedMillis = -REPEATED_EVENT_MILLIS;
     private NodeDirectory directory;
     private HomeRegistry homeRegistry;
     private HomeService home;
@@ -120,10 +136,18 @@
         trafficGroup =
                 new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("traffic"), NioIoHandler.newFactory());
         control = new ControlEventLoop((EventLoop) controlGroup.next(), log);
+        memory = new MemoryBudget(bufferBytes(settings.resources()), this::logEviction);
         upstreamClient = new HttpClient(
-                (EventLoop) trafficGroup.next(), settings.headers().requestId());
-        network = new PeerNetwork(control, log, trafficGroup, settings.nodeId(), incarnation);
-        callerServer = new HttpServer(this::callerLimits, this::isIdempotent, exchange -> entry.handle(exchange));
+                (EventLoop) trafficGroup.next(),
+                settings.headers().requestId(),
+                HttpClient.DEFAULT_MAXIMUM_RESPONSE_BYTES,
+                memory);
+        network = new PeerNetwork(control, log, trafficGroup, settings.nodeId(), incarnation, memory);
+        callerServer = new HttpServer(
+                this::callerLimits,
+                new CallerRules(settings.headers(), this::configuration),
+                new ServerResources(memory, maximumConnections(settings.resources()), this::logConnectionLimit),
+                exchange -> entry.handle(exchange));
     }
 
     /** Returns the event loop whose thread owns the engine's state. */
@@ -286,12 +310,36 @@
         stopped.complete(null);
     }
 
-    private boolean isIdempotent(HttpRequestData request) {
-        FleetConfiguration current = configuration;
-        return current != null
-                && current.match(request.header("host").orElse(""), request.path())
-                        .map(Route::idempotent)
-                        .orElse(false);
+    private static long bufferBytes(EngineSettings.Resources resources) {
+        return (long) Math.min(
+                BUFFER_SHARE_OF_HEAP * Runtime.getRuntime().maxMemory(),
+                BUFFER_SHARE_OF_MEMORY * resources.memoryBytes());
+    }
+
+    private static int maximumConnections(EngineSettings.Resources resources) {
+        int shared = (int) (CALLER_SHARE_OF_DESCRIPTORS * (resources.fileDescriptors() - RESERVED_DESCRIPTORS));
+        return Math.max(MINIMUM_CALLER_CONNECTIONS, shared);
+    }
+
+    private void logEviction(MemoryBudget.Kind kind, long bytes, long idleMillis) {
+        metrics.count("evictions", kind.label());
+        log.event("holder-evicted")
+                .with("kind", kind.label())
+                .with("bytes", bytes)
+                .with("idleMillis", idleMillis)
+                .write();
+    }
+
+    // Callers' connections are accepted on the traffic loop's one thread.
+    private void logConnectionLimit() {
+        metrics.count("connections_refused", "limit");
+        long now = control.nowMillis();
+        if (now - connectionLimitLoggedMillis >= REPEATED_EVENT_MILLIS) {
+            connectionLimitLoggedMillis = now;
+            log.event("connection-refused")
+                    .with("open", callerServer.openConnections())
+                    .write();
+        }
     }
 
     private CallerLimits callerLimits() {
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
@@ -61,7 +61,7 @@
     private final CrashingRequestDetector crashDetector;
     private final AnnouncementTracker announcements = new AnnouncementTracker();
     private final AttemptRegistry<Answer> attemptRegistry = new AttemptRegistry<>(ANSWER_RETENTION_MILLIS);
-    private final Map<AttemptId, PendingAttempt> pendingAttempts = new HashMap<>();
+    private final PendingAttempts pendingAttempts = new PendingAttempts();
     private final Map<String, Integer> rankByRunningRequest = new HashMap<>();
     private final long incarnation;
     private AdmissionQueue<PendingAttempt> queue = UpstreamQueue.create();
@@ -156,7 +156,7 @@
             return () -> {};
         }
         PendingAttempt pending = new PendingAttempt(attempt, id, now, onAnswer);
-        pendingAttempts.put(id, pending);
+        pendingAttempts.add(pending);
         scheduleExpiry();
         Optional<Reason> refusalReason = findRefusalReason(now, attempt);
         if (refusalReason.isPresent()) {
@@ -194,7 +194,7 @@
         Optional<AttemptId> parsedId = AttemptId.parse(inquiry.getAttemptId());
         // The attempt was sent to an earlier process, whose attempts this one doesn't know.
         if (parsedId.isEmpty() || inquiry.getHomeIncarnation() != incarnation) {
-            onAnswer.accept(unknownOutcome());
+            onAnswer.accept(UpstreamHttpMapper.unknownOutcome());
             return;
         }
         AttemptId id = parsedId.get();
@@ -206,10 +206,10 @@
                 .write();
         switch (abandonment.state()) {
             case FINISHED -> onAnswer.accept(abandonment.answer());
-            case RUNNING -> pendingAttempts.get(id).addListener(onAnswer);
-            case FORGOTTEN -> onAnswer.accept(unknownOutcome());
+            case RUNNING -> pendingAttempts.find(id).orElseThrow().addListener(onAnswer);
+            case FORGOTTEN -> onAnswer.accept(UpstreamHttpMapper.unknownOutcome());
             default -> {
-                Optional.ofNullable(pendingAttempts.remove(id)).ifPresent(waiting -> queue.remove(waiting.queueId()));
+                pendingAttempts.remove(id).ifPresent(waiting -> queue.remove(waiting.queueId()));
                 onAnswer.accept(UpstreamHttpMapper.failureAnswer(Verdict.NOT_RUN, Reason.ABANDONED, false)
                         .setLoad(createLoadReport())
                         .build());
@@ -285,6 +285,9 @@
         if (!isAccepting(now)) {
             return Optional.of(Reason.BACKEND_SERVER_REFUSED);
         }
+        if (pendingAttempts.exceedMemory()) {
+            return Optional.of(Reason.MEMORY_SHORT);
+        }
         if (!attempt.getLastResort() && !admits(monitor.condition(), attempt)) {
             return Optional.of(Reason.OUT_OF_ROTATION);
         }
@@ -390,10 +393,10 @@
     }
 
     private void cancel(AttemptId id) {
-        PendingAttempt pending = pendingAttempts.get(id);
-        if (pending == null) {
-            return;
-        }
+        pendingAttempts.find(id).ifPresent(this::cancel);
+    }
+
+    private void cancel(PendingAttempt pending) {
         if (queue.remove(pending.queueId()).isPresent()) {
             refuse(pending, Reason.ABANDONED);
         } else if (pending.attempt().getIdempotent()) {
@@ -459,11 +462,6 @@
                         .build();
     }
 
-    private static Answer unknownOutcome() {
-        return UpstreamHttpMapper.failureAnswer(Verdict.MAY_HAVE_RUN, Reason.LINK_LOST, true)
-                .build();
-    }
-
     private Answer refusalAnswer(Reason reason) {
         return UpstreamHttpMapper.failureAnswer(Verdict.NOT_RUN, reason, false)
                 .setLoad(createLoadReport())
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamHttpMapper.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamHttpMapper.java
@@ -4,9 +4,9 @@
 import java.util.Set;
 import java.util.stream.Stream;
 
-import com.google.protobuf.ByteString;
 import org.sardineshunt.coordination.Reason;
 import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.engine.BodyBytes;
 import org.sardineshunt.engine.RequestHeaders;
 import org.sardineshunt.engine.http.HttpHeader;
 import org.sardineshunt.engine.http.HttpOutcome;
@@ -50,10 +50,7 @@
                                 new HttpHeader(headers.callerService(), attempt.getCallerService())))
                 .toList();
         return new HttpRequestData(
-                attempt.getMethod(),
-                attempt.getTarget(),
-                requestHeaders,
-                attempt.getBody().toByteArray());
+                attempt.getMethod(), attempt.getTarget(), requestHeaders, BodyBytes.fromField(attempt.getBody()));
     }
 
     /** Returns the answer to an attempt whose request had this outcome. */
@@ -70,6 +67,7 @@
                     case TIMEOUT -> Reason.DEADLINE_PASSED;
                     case MALFORMED -> Reason.ANSWER_CROSSED;
                     case TOO_LARGE -> Reason.ANSWER_TOO_LARGE;
+                    case MEMORY_SHORT -> Reason.MEMORY_SHORT;
                     case INVALID_REQUEST -> Reason.MALFORMED_REQUEST;
                     case CANCELLED -> Reason.ABANDONED;
                 };
@@ -100,6 +98,11 @@
                 .setOffered(offered);
     }
 
+    /** Returns the answer about an attempt whose outcome this home doesn't know. */
+    static Answer unknownOutcome() {
+        return failureAnswer(Verdict.MAY_HAVE_RUN, Reason.LINK_LOST, true).build();
+    }
+
     // A refusal without the ID of the request may be that of an earlier request, while the upstream runs this one.
     private boolean belongsTo(Attempt attempt, HttpResponseData response) {
         return !attempt.getRequestId().isEmpty()
@@ -136,7 +139,7 @@
                 .setReason(response.status() >= 500 ? Reason.SERVER_ERROR.label() : Reason.NONE.label())
                 .setStatus(response.status())
                 .addAllHeaders(forwarded)
-                .setBody(ByteString.copyFrom(response.body()))
+                .setBody(BodyBytes.toField(response.body()))
                 .setOffered(true);
         // Another node would take an invalid answer for a fault of the link.
         return AnswerValidator.findFault(answer).isPresent()
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamMonitor.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamMonitor.java
@@ -195,7 +195,7 @@
             }
             case TIMEOUT -> hadAmpleTime(attempt);
             case MALFORMED, TOO_LARGE -> true;
-            case CANCELLED, INVALID_REQUEST -> false;
+            case CANCELLED, INVALID_REQUEST, MEMORY_SHORT -> false;
         };
     }
 
--- a/engine/src/main/java/org/sardineshunt/engine/caller/AttemptFactory.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/AttemptFactory.java
@@ -1,10 +1,9 @@
 package org.sardineshunt.engine.caller;
 
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 
-import com.google.protobuf.ByteString;
 import org.sardineshunt.coordination.RendezvousHashing;
+import org.sardineshunt.engine.BodyBytes;
 import org.sardineshunt.engine.EngineSettings;
 import org.sardineshunt.engine.http.HttpHeader;
 import org.sardineshunt.engine.http.HttpRequestData;
@@ -44,7 +43,7 @@
                 .setMethod(request.method())
                 .setTarget(request.target())
                 .addAllHeaders(forwardedHeaders)
-                .setBody(ByteString.copyFrom(request.body()))
+                .setBody(BodyBytes.toField(request.body()))
                 .setCallerService(settings.callerService())
                 .setLastResort(lastResort)
                 .setFingerprint(admitted.fingerprint())
@@ -56,11 +55,6 @@
 
     /** Returns a hash of the method, target and body, which names a request that crashes upstreams. */
     static long fingerprint(HttpRequestData request) {
-        String content = request.method()
-                + ' '
-                + request.target()
-                + ' '
-                + new String(request.body(), StandardCharsets.ISO_8859_1);
-        return RendezvousHashing.hash(content);
+        return RendezvousHashing.hash(request.method() + ' ' + request.target() + ' ', request.body());
     }
 }
--- a/engine/src/main/java/org/sardineshunt/engine/caller/EntryResponses.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/EntryResponses.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.stream.Stream;
 
+import org.sardineshunt.engine.BodyBytes;
 import org.sardineshunt.engine.http.HttpHeader;
 import org.sardineshunt.engine.http.HttpResponseData;
 import org.sardineshunt.engine.protocol.EngineMessages.Answer;
@@ -36,7 +37,6 @@
         List<HttpHeader> headers = answer.getHeadersList().stream()
                 .map(header -> new HttpHeader(header.getName(), header.getValue()))
                 .toList();
-        return new HttpResponseData(
-                answer.getStatus(), headers, answer.getBody().toByteArray());
+        return new HttpResponseData(answer.getStatus(), headers, BodyBytes.fromField(answer.getBody()));
     }
 }
--- a/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
@@ -130,6 +130,7 @@
         pending.setDeadlineTimer(control.after(
                 Math.max(0, request.deadlineMillis() - request.startedMillis()), () -> handleDeadline(pending)));
         request.exchange().onDisconnect(() -> control.execute(() -> handleDisconnect(pending)));
+        request.exchange().onEviction(() -> control.execute(() -> handleEviction(pending)));
         dispatch(pending);
     }
 
@@ -294,6 +295,14 @@
         respond(pending, retryDecision.timeOut(pending));
     }
 
+    private void handleEviction(PendingRequest pending) {
+        if (pending.hasEnded()) {
+            return;
+        }
+        pending.cancelAttempts();
+        respond(pending, retryDecision.evict(pending));
+    }
+
     private void handleDisconnect(PendingRequest pending) {
         if (pending.hasEnded()) {
             return;
--- a/engine/src/main/java/org/sardineshunt/engine/caller/RequestAdmission.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/RequestAdmission.java
@@ -114,11 +114,8 @@
 
     // The caller's time less the margin, at most the route's timeout; a malformed header counts as missing.
     private long timeLeftMillis(HttpRequestData request, Route route) {
-        long callerLeftMillis = request.header(headers.timeLeft())
-                .filter(value -> !value.isEmpty() && value.length() < 10)
-                .filter(value -> value.chars().allMatch(Character::isDigit))
-                .map(Long::parseLong)
-                .orElse(route.timeoutMillis() + ANSWER_MARGIN_MILLIS);
+        long callerLeftMillis =
+                CallerRules.timeLeftMillis(headers, request).orElse(route.timeoutMillis() + ANSWER_MARGIN_MILLIS);
         return Math.max(1, Math.min(callerLeftMillis - ANSWER_MARGIN_MILLIS, route.timeoutMillis()));
     }
 
--- a/engine/src/main/java/org/sardineshunt/engine/caller/RetryDecision.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/RetryDecision.java
@@ -25,6 +25,7 @@
     private static final int MAXIMUM_FAILED_ATTEMPTS = 8;
     private static final double RETRY_BUDGET_CAPACITY = 3;
     private static final long NO_UPSTREAM_RETRY_AFTER_MILLIS = 700;
+    private static final long MEMORY_RETRY_AFTER_MILLIS = 500;
     private static final long MINIMUM_RETRY_AFTER_MILLIS = 200;
 
     private final CrashingRequestDetector crashDetector;
@@ -114,6 +115,19 @@
                         responses.error(pending.request().requestId(), 504, 0)));
     }
 
+    /** Returns how a request ends whose memory is needed for others. */
+    Outcome evict(PendingRequest pending) {
+        boolean neverRuns = pending.verdictSoFar() == Verdict.NOT_RUN
+                && pending.attemptsInFlight().isEmpty();
+        String requestId = pending.request().requestId();
+        return neverRuns
+                ? new Outcome(
+                        Verdict.NOT_RUN,
+                        Reason.MEMORY_SHORT,
+                        responses.error(requestId, 503, MEMORY_RETRY_AFTER_MILLIS))
+                : new Outcome(Verdict.MAY_HAVE_RUN, Reason.MEMORY_SHORT, responses.error(requestId, 502, 0));
+    }
+
     private static Optional<Outcome> errorOutcome(PendingRequest pending) {
         return pending.errorAnswer()
                 .map(answer -> new Outcome(Verdict.RAN, Reason.SERVER_ERROR, EntryResponses.fromUpstream(answer)));
--- a/engine/src/main/java/org/sardineshunt/engine/http/ClientConnection.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/ClientConnection.java
@@ -1,13 +1,11 @@
 package org.sardineshunt.engine.http;
 
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -58,7 +56,7 @@
     private Channel channel;
     private HttpClient.Call call;
     private HttpResponse head;
-    private ByteArrayOutputStream body;
+    private BodyBuffer body;
     private boolean attributionUncertain;
     private boolean usedBefore;
     private boolean discarding;
@@ -197,7 +195,7 @@
             attributionUncertain = true;
         }
         head = response;
-        body = new ByteArrayOutputStream();
+        body = new BodyBuffer();
     }
 
     private void receiveContent(HttpContent content) {
@@ -205,7 +203,7 @@
             return;
         }
         if (!discarding && body != null) {
-            appendBody(content.content());
+            body.append(content.content());
         }
         if (!(content instanceof LastHttpContent)) {
             return;
@@ -217,17 +215,15 @@
         }
     }
 
-    private void appendBody(ByteBuf bytes) {
-        byte[] copy = new byte[bytes.readableBytes()];
-        bytes.readBytes(copy);
-        body.writeBytes(copy);
-    }
-
     private void completeResponse() {
+        // Joining the parts needs the body's length again until the parts are released.
+        if (!call.reserveMemory(body.joiningAllocation())) {
+            return;
+        }
         List<HttpHeader> headers = head.headers().entries().stream()
                 .map(entry -> new HttpHeader(entry.getKey(), entry.getValue()))
                 .toList();
-        HttpResponseData response = new HttpResponseData(head.status().code(), headers, body.toByteArray());
+        HttpResponseData response = new HttpResponseData(head.status().code(), headers, body.toArray());
         String echoedValue = echoedValue(call.request());
         if (response.status() >= FIRST_ERROR_STATUS && echoedValue != null) {
             failedRequests.add(echoedValue);
--- a/engine/src/main/java/org/sardineshunt/engine/http/HttpClient.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/HttpClient.java
@@ -18,6 +18,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
+import org.sardineshunt.coordination.memory.MemoryBudget;
+import org.sardineshunt.coordination.memory.MemoryBudget.Kind;
 import org.sardineshunt.engine.http.HttpOutcome.Failed;
 import org.sardineshunt.engine.http.HttpOutcome.FailureKind;
 import org.sardineshunt.engine.http.HttpOutcome.Stage;
@@ -48,6 +50,7 @@
     private final EventLoop loop;
     private final String echoedHeader;
     private final int maximumResponseBytes;
+    private final MemoryBudget memory;
     private final Map<InetSocketAddress, Deque<ClientConnection>> idleConnections = new HashMap<>();
     private long bufferedBytes;
     private boolean closed;
@@ -60,14 +63,21 @@
      *     empty if there is none
      * @param maximumResponseBytes limit of a response, with its head and with the interim and stale responses before it;
      *     a call whose response is longer fails
+     * @param memory memory for the responses
      */
-    public HttpClient(EventLoop loop, String echoedHeader, int maximumResponseBytes) {
+    public HttpClient(EventLoop loop, String echoedHeader, int maximumResponseBytes, MemoryBudget memory) {
         this.loop = loop;
         this.echoedHeader = echoedHeader;
         this.maximumResponseBytes = maximumResponseBytes;
+        this.memory = memory;
+    }
+
+    /** Creates a client whose responses share no memory with other parts of the process. */
+    public HttpClient(EventLoop loop, String echoedHeader, int maximumResponseBytes) {
+        this(loop, echoedHeader, maximumResponseBytes, MemoryBudget.unlimited());
     }
 
-    /** Creates a client with the default limit of a response. */
+    /** Creates a client with the default limit of a response whose responses share no memory with other parts. */
     public HttpClient(EventLoop loop, String echoedHeader) {
         this(loop, echoedHeader, DEFAULT_MAXIMUM_RESPONSE_BYTES);
     }
@@ -175,6 +185,7 @@
         private final Consumer<HttpOutcome> onOutcome;
         private ClientConnection connection;
         private java.util.concurrent.ScheduledFuture<?> timeoutTimer;
+        private MemoryBudget.Holder holder;
         private int reservedBytes;
         private boolean sent;
         private boolean ended;
@@ -208,9 +219,28 @@
                 return false;
             }
             reservedBytes = total;
+            return reserveMemory(bytes);
+        }
+
+        /** Reserves memory for the response; fails the call and returns false if memory is short. */
+        boolean reserveMemory(int bytes) {
+            long now = LoopRunner.nowMillis();
+            if (holder == null) {
+                LoopRunner runner = new LoopRunner(loop);
+                holder = memory.open(Kind.UPSTREAM_RESPONSE, now, () -> runner.run(this::failForMemory));
+            }
+            holder.recordProgress(now);
+            if (!holder.tryReserve(now, bytes)) {
+                failForMemory();
+                return false;
+            }
             return true;
         }
 
+        private void failForMemory() {
+            fail(FailureKind.MEMORY_SHORT, "memory is short after " + reservedBytes + " bytes");
+        }
+
         void complete(HttpResponseData response, boolean reusable) {
             if (ended) {
                 return;
@@ -272,6 +302,9 @@
         private void finish(HttpOutcome outcome) {
             ended = true;
             bufferedBytes -= reservedBytes;
+            if (holder != null) {
+                holder.close();
+            }
             timeoutTimer.cancel(false);
             onOutcome.accept(outcome);
         }
--- a/engine/src/main/java/org/sardineshunt/engine/http/HttpOutcome.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/HttpOutcome.java
@@ -38,6 +38,8 @@
         MALFORMED,
         /** The response exceeds the size limit. */
         TOO_LARGE,
+        /** The memory for the response was needed for others. */
+        MEMORY_SHORT,
         /** The request has a method or a header that HTTP doesn't allow. */
         INVALID_REQUEST,
         /** The call was cancelled through {@link HttpClient.Call#cancel}. */
--- a/engine/src/main/java/org/sardineshunt/engine/http/HttpServer.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/HttpServer.java
@@ -1,10 +1,11 @@
 package org.sardineshunt.engine.http;
 
 import java.net.InetSocketAddress;
+import java.util.Comparator;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
@@ -13,44 +14,52 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpServerCodec;
+import org.sardineshunt.coordination.memory.MemoryBudget;
 import org.sardineshunt.coordination.route.FleetConfiguration.CallerLimits;
 
 /**
  * An HTTP/1.1 server that passes complete requests to a handler. Requests that are pipelined on one connection are
- * passed on concurrently as far as a predicate allows, else one at a time; their responses keep the order of the
+ * passed on concurrently as far as the rules allow, else one at a time; their responses keep the order of the
  * requests.
  *
  * <p>Thread-safe. The handler runs on the connection's event loop and must not block.
  */
 public final class HttpServer implements AutoCloseable {
-    private static final int MAXIMUM_CHUNK_BYTES = 65_536;
     private static final int ACCEPT_BACKLOG = 512;
 
     private final Supplier<CallerLimits> limits;
-    private final Predicate<HttpRequestData> mayOverlap;
+    private final RequestRules rules;
+    private final ServerResources resources;
     private final Consumer<HttpExchange> handler;
     private final Set<ServerConnection> connections = ConcurrentHashMap.newKeySet();
     private Channel serverChannel;
     private volatile boolean closingAfterResponses;
 
-    /** Creates a server that does not listen yet and serves the requests of one connection one at a time. */
+    /** Creates a server without limits of resources that serves the requests of one connection one at a time. */
     public HttpServer(Supplier<CallerLimits> limits, Consumer<HttpExchange> handler) {
         this(limits, request -> false, handler);
     }
 
+    /** Creates a server without limits of resources. */
+    public HttpServer(Supplier<CallerLimits> limits, RequestRules rules, Consumer<HttpExchange> handler) {
+        this(limits, rules, ServerResources.unlimited(), handler);
+    }
+
     /**
      * Creates a server that does not listen yet.
      *
      * @param limits supplies the limits of each connection when it is accepted
-     * @param mayOverlap tells whether a request may be served at the same time as others of its connection for which
-     *     this holds, too; called on the connection's event loop, only for pipelined requests
+     * @param rules tells how to treat a request before it is passed on
      * @param handler called with each request
      */
     public HttpServer(
-            Supplier<CallerLimits> limits, Predicate<HttpRequestData> mayOverlap, Consumer<HttpExchange> handler) {
+            Supplier<CallerLimits> limits,
+            RequestRules rules,
+            ServerResources resources,
+            Consumer<HttpExchange> handler) {
         this.limits = limits;
-        this.mayOverlap = mayOverlap;
+        this.rules = rules;
+        this.resources = resources;
         this.handler = handler;
     }
 
@@ -107,18 +116,32 @@
         return closingAfterResponses;
     }
 
-    boolean mayOverlap(HttpRequestData request) {
-        return mayOverlap.test(request);
+    RequestRules rules() {
+        return rules;
     }
 
-    private void accept(Channel channel) {
-        CallerLimits current = limits.get();
-        ServerConnection connection = new ServerConnection(this, channel, current, handler);
+    MemoryBudget memory() {
+        return resources.memory();
+    }
+
+    /** Serves a new connection, unless too many are open and none of them is idle. */
+    void accept(Channel channel) {
+        if (connections.size() >= resources.maximumConnections()) {
+            resources.connectionClosed().run();
+            Optional<ServerConnection> longestIdle = connections.stream()
+                    .filter(ServerConnection::isIdle)
+                    .min(Comparator.comparingLong(ServerConnection::lastActivityNanos));
+            if (longestIdle.isEmpty()) {
+                channel.close();
+                return;
+            }
+            // It counts no longer, although it may take a moment until it is closed on its event loop.
+            connections.remove(longestIdle.get());
+            longestIdle.get().closeNow();
+        }
+        ServerConnection connection = new ServerConnection(this, channel, limits.get(), handler);
         connections.add(connection);
         channel.closeFuture().addListener(closed -> connections.remove(connection));
-        channel.pipeline()
-                .addLast(
-                        new HttpServerCodec(current.headerBytes(), current.headerBytes(), MAXIMUM_CHUNK_BYTES),
-                        connection);
+        connection.install();
     }
 }
--- a/engine/src/main/java/org/sardineshunt/engine/http/ServerConnection.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/ServerConnection.java
@@ -1,6 +1,5 @@
 package org.sardineshunt.engine.http;
 
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -24,7 +23,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import org.sardineshunt.coordination.route.FleetConfiguration.CallerLimits;
@@ -35,6 +33,7 @@
  * volatile fields.
  */
 final class ServerConnection extends SimpleChannelInboundHandler<HttpObject> {
+    private static final int MAXIMUM_CHUNK_BYTES = 65_536;
     private static final int MAXIMUM_CONCURRENT_REQUESTS = 16;
 
     // Reading stops while this many requests, or bytes of requests, have no response. While it is stopped, a disconnect
@@ -51,15 +50,18 @@
     private final HttpServer server;
     private final Channel channel;
     private final CallerLimits limits;
+    private final ResponseEncoder encoder;
+    private final RequestDecoder decoder;
+    private final RequestReceiver receiver;
+    private final UnwrittenResponses unwrittenBytes;
     private final Consumer<HttpExchange> handler;
     private final Deque<Exchange> unanswered = new ArrayDeque<>();
     private final AtomicInteger unwrittenResponses = new AtomicInteger();
-    private HttpRequest head;
-    private ByteArrayOutputStream body;
     private ScheduledFuture<?> idleTimer;
     private long unansweredBytes;
     private boolean continueExpected;
     private boolean inputEnded;
+    private volatile boolean receiving;
     private volatile boolean serving;
     private volatile long lastActivityNanos = System.nanoTime();
 
@@ -68,6 +70,24 @@
         this.channel = channel;
         this.limits = limits;
         this.handler = handler;
+        encoder = new ResponseEncoder();
+        decoder = new RequestDecoder(limits.headerBytes(), MAXIMUM_CHUNK_BYTES);
+        receiver = new RequestReceiver(server, channel, limits, decoder, new ReceiverListener());
+        unwrittenBytes = new UnwrittenResponses(server.memory(), channel);
+    }
+
+    /** Adds the codec and this handler to the pipeline of the connection. */
+    void install() {
+        channel.pipeline().addLast(decoder, encoder, this);
+    }
+
+    /** Returns whether the connection is open without a request, not even a partial one. */
+    boolean isIdle() {
+        return !isBusy() && !receiving;
+    }
+
+    long lastActivityNanos() {
+        return lastActivityNanos;
     }
 
     /** Returns whether a request has no response yet or a response has not been handed to the operating system yet. */
@@ -78,7 +98,7 @@
     void closeIfIdle(long idleMillis) {
         channel.eventLoop().execute(() -> {
             boolean idle = System.nanoTime() - lastActivityNanos >= idleMillis * 1_000_000;
-            if (!isBusy() && head == null && idle) {
+            if (!isBusy() && !receiver.isReceivingBody() && idle) {
                 channel.close();
             }
         });
@@ -100,21 +120,47 @@
             return;
         }
         if (message.decoderResult().isFailure()) {
-            reject(rejectionStatus(message.decoderResult().cause()));
+            receiver.discard();
+            HttpResponseStatus status = rejectionStatus(message.decoderResult().cause());
+            reject(new HttpResponseData(status.code(), List.of(), new byte[0]));
             return;
         }
         if (message instanceof HttpRequest request) {
-            receiveHead(request);
+            stopIdleTimer();
+            continueExpected = HttpUtil.is100ContinueExpected(request);
+            receiver.receiveHead(request);
+            writeExpectedContinue();
         }
-        if (message instanceof HttpContent content && head != null) {
-            receiveContent(content);
+        if (message instanceof HttpContent content && receiver.isReceivingBody()) {
+            receiver.receiveContent(content);
         }
+        decoder.recordDecodedPart();
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (!inputEnded) {
+            receiver.handleReadComplete();
+            receiving = receiver.isReceiving();
+        }
+        context.fireChannelReadComplete();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (!inputEnded) {
+            startRequests();
+            updateReading();
+        }
+        context.fireChannelWritabilityChanged();
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         stopIdleTimer();
         inputEnded = true;
+        receiver.discard();
+        unwrittenBytes.close();
         List<Exchange> disconnected = List.copyOf(unanswered);
         discardUnanswered();
         disconnected.forEach(Exchange::disconnect);
@@ -125,62 +171,21 @@
         context.close();
     }
 
-    private void receiveHead(HttpRequest request) {
-        stopIdleTimer();
-        if (HttpUtil.getContentLength(request, 0L) > limits.bodyBytes()) {
-            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-            return;
-        }
-        head = request;
-        body = new ByteArrayOutputStream();
-        continueExpected = HttpUtil.is100ContinueExpected(request);
-        writeExpectedContinue();
-    }
-
     // The interim response must not precede the responses to earlier requests.
     private void writeExpectedContinue() {
-        if (continueExpected && unanswered.isEmpty()) {
+        if (continueExpected && unanswered.isEmpty() && !inputEnded) {
             continueExpected = false;
             channel.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
     }
 
-    private void receiveContent(HttpContent content) {
-        byte[] bytes = new byte[content.content().readableBytes()];
-        content.content().readBytes(bytes);
-        if ((long) body.size() + bytes.length > limits.bodyBytes()) {
-            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-            return;
-        }
-        body.writeBytes(bytes);
-        if (content instanceof LastHttpContent) {
-            completeRequest();
-        }
-    }
-
-    private void completeRequest() {
-        List<HttpHeader> headers = head.headers().entries().stream()
-                .map(entry -> new HttpHeader(entry.getKey(), entry.getValue()))
-                .toList();
-        boolean keepAlive = HttpUtil.isKeepAlive(head);
-        HttpRequestData request = new HttpRequestData(head.method().name(), head.uri(), headers, body.toByteArray());
-        head = null;
-        body = null;
-        continueExpected = false;
-        inputEnded = !keepAlive;
-        addUnanswered(new Exchange(request, keepAlive));
-        startRequests();
-        updateReading();
-    }
-
-    private void reject(HttpResponseStatus status) {
+    private void reject(HttpResponseData response) {
         inputEnded = true;
-        head = null;
-        body = null;
-        Exchange rejected = new Exchange(new HttpRequestData("", "", List.of(), new byte[0]), false);
+        HttpRequestData unknown = new HttpRequestData("", "", List.of(), new byte[0]);
+        Exchange rejected = new Exchange(unknown, System.nanoTime(), () -> {});
         rejected.started = true;
-        rejected.response = new HttpResponseData(status.code(), List.of(), new byte[0]);
+        rejected.response = response;
         addUnanswered(rejected);
         writeResponses();
     }
@@ -192,12 +197,14 @@
     }
 
     private void discardUnanswered() {
+        unanswered.forEach(exchange -> exchange.releaseMemory.run());
         unanswered.clear();
         unansweredBytes = 0;
         serving = false;
     }
 
-    // The first request without a response starts in any case. Others start behind it if all of them may overlap.
+    // The first request without a response starts once the caller has read the responses before it. Others start behind
+    // it if all of them may overlap.
     private void startRequests() {
         int running = 0;
         boolean mayOverlap = true;
@@ -206,7 +213,7 @@
             if (!exchange.started) {
                 boolean roomBehind =
                         mayOverlap && running < MAXIMUM_CONCURRENT_REQUESTS && !server.isClosingAfterResponses();
-                if (running > 0 && !roomBehind) {
+                if (running > 0 && !roomBehind || !channel.isWritable()) {
                     return;
                 }
                 exchange.started = true;
@@ -217,14 +224,19 @@
     }
 
     private void updateReading() {
-        boolean room = unanswered.size() < MAXIMUM_UNANSWERED_REQUESTS && unansweredBytes < MAXIMUM_UNANSWERED_BYTES;
+        boolean room = unanswered.size() < MAXIMUM_UNANSWERED_REQUESTS
+                && unansweredBytes < MAXIMUM_UNANSWERED_BYTES
+                && channel.isWritable();
         channel.config().setAutoRead(room);
     }
 
     private void setResponse(Exchange exchange, HttpResponseData response) {
         if (exchange.response == null && unanswered.contains(exchange)) {
             exchange.response = response;
+            exchange.releaseMemory.run();
+            unwrittenBytes.addWaiting(response);
             writeResponses();
+            unwrittenBytes.update();
         }
     }
 
@@ -232,7 +244,9 @@
         while (!unanswered.isEmpty() && unanswered.peek().response != null) {
             Exchange exchange = unanswered.poll();
             unansweredBytes -= exchange.request.body().length;
+            unwrittenBytes.removeWaiting(exchange.response);
             boolean close = !exchange.keepAlive || server.isClosingAfterResponses() && noneStarted();
+            encoder.setRespondingToHead(exchange.request.method().equals("HEAD"));
             write(exchange.response, close);
             if (close) {
                 inputEnded = true;
@@ -309,20 +323,46 @@
         return HttpResponseStatus.BAD_REQUEST;
     }
 
+    /** Queues received requests and writes the responses to rejected ones. */
+    private final class ReceiverListener implements RequestReceiver.Listener {
+        @Override
+        public void received(RequestReceiver.Received received) {
+            Exchange exchange = new Exchange(received.request(), received.headNanos(), received.memory()::close);
+            exchange.keepAlive = received.keepAlive();
+            received.memory().complete(received.releasedBytes(), exchange::evict);
+            continueExpected = false;
+            inputEnded = !received.keepAlive();
+            addUnanswered(exchange);
+            startRequests();
+            updateReading();
+        }
+
+        @Override
+        public void rejected(HttpResponseData response) {
+            if (!inputEnded) {
+                reject(response);
+            }
+        }
+    }
+
     /** A request of this connection whose response has not been written yet. */
     private final class Exchange implements HttpExchange {
         private final HttpRequestData request;
-        private final boolean keepAlive;
-        private final long receivedNanos = System.nanoTime();
+        private final long receivedNanos;
+        private final Runnable releaseMemory;
+        private boolean keepAlive;
         private Boolean overlapAllowed;
         private boolean started;
         private HttpResponseData response;
         private Runnable disconnectAction = () -> {};
+        private volatile Runnable evictionAction = () -> {};
+        private volatile boolean evicted;
         private boolean disconnected;
 
-        private Exchange(HttpRequestData request, boolean keepAlive) {
+        private Exchange(HttpRequestData request, long receivedNanos, Runnable releaseMemory) {
             this.request = request;
-            this.keepAlive = keepAlive;
+            this.receivedNanos = receivedNanos;
+            this.releaseMemory = releaseMemory;
         }
 
         @Override
@@ -350,9 +390,34 @@
             });
         }
 
+        @Override
+        public void onEviction(Runnable action) {
+            evictionAction = action;
+            if (evicted) {
+                channel.eventLoop().execute(action);
+            }
+        }
+
+        // A request that the handler hasn't received is refused here, any other by the handler.
+        private void evict() {
+            keepAlive = false;
+            evicted = true;
+            if (started) {
+                evictionAction.run();
+                return;
+            }
+            started = true;
+            setResponse(
+                    this,
+                    new HttpResponseData(
+                            HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
+                            RequestReceiver.MEMORY_SHORT_HEADERS,
+                            new byte[0]));
+        }
+
         private boolean mayOverlap() {
             if (overlapAllowed == null) {
-                overlapAllowed = server.mayOverlap(request);
+                overlapAllowed = server.rules().mayOverlap(request);
             }
             return overlapAllowed;
         }
--- a/engine/src/main/java/org/sardineshunt/engine/peer/PeerLink.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/PeerLink.java
@@ -68,21 +68,26 @@
             silence.restart(timers.nowMillis());
         }
         pendingCalls.put(correlation, new PendingCall(onResult, channel != null));
-        send(message.setCorrelation(correlation).build());
+        if (!send(message.setCorrelation(correlation).build())) {
+            failUnsent(correlation);
+        }
         scheduleSilenceCheck();
         return () -> cancel(correlation);
     }
 
-    /** Sends a frame, once the connection is open; dropped if the link is closed. */
-    void send(Frame frame) {
+    /**
+     * Sends a frame, once the connection is open; dropped if the link is closed. Returns false if it is not sent because
+     * memory is short.
+     */
+    boolean send(Frame frame) {
         if (closed) {
-            return;
+            return true;
         }
         if (channel == null) {
             queuedFrames.add(frame);
-        } else {
-            channel.send(frame);
+            return true;
         }
+        return channel.send(frame);
     }
 
     void close(String cause) {
@@ -109,9 +114,10 @@
         channel = openedChannel;
         silence.recordReceived(timers.nowMillis());
         channel.send(Frame.newBuilder().setHello(ownHello).build());
-        queuedFrames.forEach(channel::send);
+        List<Frame> frames = List.copyOf(queuedFrames);
         queuedFrames.clear();
         pendingCalls.replaceAll((correlation, call) -> new PendingCall(call.onResult(), true));
+        frames.stream().filter(frame -> !channel.send(frame)).forEach(frame -> failUnsent(frame.getCorrelation()));
     }
 
     @Override
@@ -138,6 +144,16 @@
         close(cause);
     }
 
+    // Fails a call on the next turn, because its caller may not expect a result before it has the cancelling action.
+    private void failUnsent(long correlation) {
+        timers.after(0, () -> {
+            PendingCall call = pendingCalls.remove(correlation);
+            if (call != null) {
+                call.onResult().accept(Either.left(new PeerFailure(false, incarnation, "memory is short")));
+            }
+        });
+    }
+
     private void cancel(long correlation) {
         if (pendingCalls.remove(correlation) != null) {
             send(Frame.newBuilder()
--- a/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
@@ -19,6 +19,10 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.vavr.control.Either;
+import org.sardineshunt.coordination.Reason;
+import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.coordination.memory.MemoryBudget;
+import org.sardineshunt.coordination.memory.MemoryBudget.Kind;
 import org.sardineshunt.engine.ControlEventLoop;
 import org.sardineshunt.engine.EventLog;
 import org.sardineshunt.engine.protocol.EngineMessages.Answer;
@@ -49,10 +53,17 @@
     // instances that are gone for good cost no messages.
     private static final long PROBE_DURATION_MILLIS = 120_000;
 
+    // Ids, headers and bookkeeping of an attempt, besides its body.
+    private static final long BYTES_PER_ATTEMPT = 4_096;
+
+    private static final Answer MEMORY_SHORT = failure(Verdict.NOT_RUN, false);
+    private static final Answer ANSWER_LOST = failure(Verdict.MAY_HAVE_RUN, true);
+
     private final ControlEventLoop control;
     private final EventLog log;
     private final EventLoopGroup loops;
     private final Hello ownHello;
+    private final MemoryBudget memory;
     private final Map<PeerAddress, PeerLink> links = new HashMap<>();
     private final Map<PeerAddress, LostNode> lostNodes = new HashMap<>();
     private final Set<FrameChannel> incomingChannels = new HashSet<>();
@@ -69,11 +80,19 @@
      *
      * @param nodeId ID of this node
      * @param incarnation start time of this process, in milliseconds since the epoch
+     * @param memory memory for unsent frames and for the attempts of other nodes
      */
-    public PeerNetwork(ControlEventLoop control, EventLog log, EventLoopGroup loops, String nodeId, long incarnation) {
+    public PeerNetwork(
+            ControlEventLoop control,
+            EventLog log,
+            EventLoopGroup loops,
+            String nodeId,
+            long incarnation,
+            MemoryBudget memory) {
         this.control = control;
         this.log = log;
         this.loops = loops;
+        this.memory = memory;
         ownHello = Hello.newBuilder()
                 .setProtocolVersion(PROTOCOL_VERSION)
                 .setNodeId(nodeId)
@@ -92,7 +111,7 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        FrameChannel.install(channel, MAXIMUM_FRAME_BYTES, control, new IncomingLink());
+                        FrameChannel.install(channel, MAXIMUM_FRAME_BYTES, control, memory, new IncomingLink());
                     }
                 })
                 .bind(address)
@@ -162,6 +181,14 @@
         Set.copyOf(incomingChannels).forEach(FrameChannel::close);
     }
 
+    private static Answer failure(Verdict verdict, boolean offered) {
+        return Answer.newBuilder()
+                .setVerdict(verdict.ordinal())
+                .setReason(Reason.MEMORY_SHORT.label())
+                .setOffered(offered)
+                .build();
+    }
+
     private PeerLink linkTo(PeerAddress address) {
         PeerLink existing = links.get(address);
         if (existing != null && !existing.isClosed()) {
@@ -177,7 +204,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        FrameChannel.install(channel, MAXIMUM_FRAME_BYTES, control, link);
+                        FrameChannel.install(channel, MAXIMUM_FRAME_BYTES, control, memory, link);
                     }
                 })
                 .connect(new InetSocketAddress(address.host(), address.port()))
@@ -308,12 +335,7 @@
                 case HELLO -> acceptHello(channel, frame.getHello());
                 case PING -> channel.send(
                         Frame.newBuilder().setPong(Pong.getDefaultInstance()).build());
-                case ATTEMPT -> cancellations.put(
-                        correlation,
-                        handler.attempt(
-                                nodeId,
-                                frame.getAttempt(),
-                                answer -> control.execute(() -> reply(channel, correlation, answer))));
+                case ATTEMPT -> runAttempt(channel, correlation, frame.getAttempt());
                 case INQUIRY -> handler.inquire(frame.getInquiry(), answer -> reply(channel, correlation, answer));
                 case DEPARTURE -> reply(channel, correlation, handler.recordDeparture(nodeId, frame.getDeparture()));
                 case DEPARTURE_QUERY -> reply(channel, correlation, findDeparture(frame.getDepartureQuery()));
@@ -333,6 +355,21 @@
             abandonedAttempts.forEach(Runnable::run);
         }
 
+        private void runAttempt(FrameChannel channel, long correlation, Attempt attempt) {
+            MemoryBudget.Holder holder =
+                    memory.open(Kind.ATTEMPT, control.nowMillis(), () -> control.execute(() -> cancel(correlation)));
+            long bytes = BYTES_PER_ATTEMPT + attempt.getBody().size();
+            if (!holder.tryReserve(control.nowMillis(), bytes)) {
+                reply(channel, correlation, MEMORY_SHORT);
+                return;
+            }
+            holder.markReceived();
+            cancellations.put(correlation, handler.attempt(nodeId, attempt, answer -> {
+                holder.close();
+                control.execute(() -> reply(channel, correlation, answer));
+            }));
+        }
+
         private void acceptHello(FrameChannel channel, Hello hello) {
             nodeId = hello.getNodeId();
             recordIncarnation(hello);
@@ -356,11 +393,10 @@
 
         private void reply(FrameChannel channel, long correlation, Answer answer) {
             cancellations.remove(correlation);
-            if (open) {
-                channel.send(Frame.newBuilder()
-                        .setCorrelation(correlation)
-                        .setAnswer(answer)
-                        .build());
+            Frame.Builder frame = Frame.newBuilder().setCorrelation(correlation);
+            if (open && !channel.send(frame.setAnswer(answer).build())) {
+                // Without its body, the answer says that the request has run but not how it ended.
+                channel.send(frame.setAnswer(ANSWER_LOST).build());
             }
         }
 
--- a/engine/src/test/java/org/sardineshunt/engine/caller/FakeExchange.java
+++ b/engine/src/test/java/org/sardineshunt/engine/caller/FakeExchange.java
@@ -33,4 +33,7 @@
     public void onDisconnect(Runnable action) {
         // This caller never disconnects.
     }
+
+    @Override
+    public void onEviction(Runnable action) {}
 }
--- a/engine/src/test/java/org/sardineshunt/engine/http/ServerConnectionTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/http/ServerConnectionTest.java
@@ -4,21 +4,23 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.HttpServerCodec;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.sardineshunt.coordination.memory.MemoryBudget;
 import org.sardineshunt.coordination.route.FleetConfiguration.CallerLimits;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -131,6 +133,104 @@
         assertThat(channel.isActive(), is(false));
     }
 
+    /** Guards against heads that are never completed (issue of the header timeout, which was not enforced). */
+    @Test
+    void answersAnIncompleteHeadWithATimeout() {
+        receive("GET /1 HTTP/1.1\r\nHost: h\r\n");
+        advance(LIMITS.headerTimeoutMillis() + 1);
+        assertThat(statuses(), contains("408"));
+        assertThat(channel.isActive(), is(false));
+    }
+
+    @Test
+    void answersAnIncompleteBodyWithATimeout() {
+        receive("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nx");
+        advance(RequestRules.DEFAULT_BODY_TIMEOUT_MILLIS - 1_000);
+        assertThat(statuses(), hasSize(0));
+        advance(1_001);
+        assertThat(statuses(), contains("408"));
+        assertThat(started, hasSize(0));
+    }
+
+    @Test
+    void keepsAConnectionWhoseHeadIsCompletedInTime() {
+        receive("GET /1 HTTP/1.1\r\n");
+        advance(LIMITS.headerTimeoutMillis() - 100);
+        receive("Host: h\r\n\r\n");
+        advance(LIMITS.headerTimeoutMillis());
+        respond(0);
+        assertThat(answeredIds(), contains("1"));
+    }
+
+    /** Guards against running out of memory because of bodies that stop before their end. */
+    @Test
+    void refusesTheLargestIncompleteBodyIfMemoryIsShort() {
+        MemoryBudget memory = new MemoryBudget(100_000, (kind, bytes, idleMillis) -> {});
+        ServerResources resources = new ServerResources(memory, 10, () -> {});
+        CallerLimits limits = new CallerLimits(4_096, 1 << 20, 3_000, 15_000);
+        HttpServer limited = new HttpServer(() -> limits, request -> false, resources, started::add);
+        EmbeddedChannel large = open(limited);
+        EmbeddedChannel small = open(limited);
+        write(large, "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n" + "x".repeat(70_000));
+        write(small, post(2, 30_000));
+        assertThat(output(large), startsWith("HTTP/1.1 503"));
+        assertThat(startedIds(), contains("2"));
+    }
+
+    @Test
+    void releasesTheMemoryOfAnsweredRequestsAndClosedConnections() {
+        MemoryBudget memory = new MemoryBudget(1 << 20, (kind, bytes, idleMillis) -> {});
+        ServerResources resources = new ServerResources(memory, 10, () -> {});
+        HttpServer limited = new HttpServer(() -> LIMITS, request -> true, resources, started::add);
+        EmbeddedChannel answered = open(limited);
+        EmbeddedChannel closed = open(limited);
+        write(answered, post(1, 1_000));
+        write(closed, post(2, 1_000) + "POST /3 HTTP/1.1\r\nContent-Length: 1000\r\n\r\nx");
+        write(closed, "xx");
+        assertThat(memory.reservedBytes(), greaterThan(3_000L));
+        started.get(0).respond(new HttpResponseData(200, List.of(), new byte[10]));
+        answered.runPendingTasks();
+        closed.close();
+        closed.runPendingTasks();
+        assertThat(memory.reservedBytes(), is(0L));
+    }
+
+    @Test
+    void closesTheConnectionThatHasBeenIdleLongestAtTheLimit() {
+        ServerResources resources = new ServerResources(MemoryBudget.unlimited(), 2, () -> {});
+        HttpServer limited = new HttpServer(() -> LIMITS, request -> true, resources, started::add);
+        EmbeddedChannel busy = open(limited);
+        EmbeddedChannel idle = open(limited);
+        write(busy, get(1));
+        EmbeddedChannel next = open(limited);
+        write(next, get(2));
+        assertThat(idle.isActive(), is(false));
+        assertThat(startedIds(), contains("1", "2"));
+        assertThat(open(limited).isActive(), is(false));
+        assertThat(busy.isActive(), is(true));
+    }
+
+    private static EmbeddedChannel open(HttpServer opener) {
+        EmbeddedChannel opened = new EmbeddedChannel();
+        opener.accept(opened);
+        return opened;
+    }
+
+    private static void write(EmbeddedChannel to, String bytes) {
+        to.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
+    }
+
+    private static String output(EmbeddedChannel from) {
+        ByteBuf bytes = from.readOutbound();
+        return bytes == null ? "" : bytes.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    private void advance(long millis) {
+        channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+        readWritten();
+    }
+
     /** Random arrivals, sizes, errors, responses and stops: each started request gets its own answer, in order. */
     @Property(tries = 400, seed = "4711")
     void answersEachStartedRequestOnceAndInOrder(@ForAll long seed) {
@@ -198,10 +298,7 @@
 
     private EmbeddedChannel openChannel() {
         EmbeddedChannel opened = new EmbeddedChannel();
-        opened.pipeline()
-                .addLast(
-                        new HttpServerCodec(LIMITS.headerBytes(), LIMITS.headerBytes(), 8_192),
-                        new ServerConnection(server, opened, LIMITS, started::add));
+        server.accept(opened);
         return opened;
     }
 
