--- a/coordination/src/main/java/org/sardineshunt/coordination/Reason.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/Reason.java
@@ -30,6 +30,8 @@
     CLAIM_LIMIT("claim-limit", 503),
     /** The client account sends more requests than it may. */
     ACCOUNT_LIMIT("account-limit", 429),
+    /** The node that grants tokens of the client account did not answer. */
+    ACCOUNT_OWNER_UNREACHABLE("account-owner-unreachable", 503),
     /** The request has no key, or one that belongs to no client account, and the route isn't public. */
     KEY_UNKNOWN("key-unknown", 401),
     /** The key was removed from the client account after the entry had accepted the request. */
--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -13,8 +13,9 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
-import org.sardineshunt.coordination.Reason;
+import io.vavr.control.Either;
 import org.sardineshunt.coordination.RendezvousHashing;
+import org.sardineshunt.coordination.account.ClockReading;
 import org.sardineshunt.coordination.announcement.Announcement;
 import org.sardineshunt.coordination.announcement.DepartureRegistry;
 import org.sardineshunt.coordination.idempotency.CrashingRequestDetector;
@@ -35,14 +36,11 @@
 import org.sardineshunt.engine.peer.NodeDirectory;
 import org.sardineshunt.engine.peer.PeerAddress;
 import org.sardineshunt.engine.peer.PeerNetwork;
-import org.sardineshunt.engine.peer.UpstreamRecords;
+import org.sardineshunt.engine.platform.ConfigurationSource;
+import org.sardineshunt.engine.platform.ConfigurationTracker;
 import org.sardineshunt.engine.platform.TableStore;
-import org.sardineshunt.engine.protocol.EngineMessages.Answer;
-import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
 import org.sardineshunt.engine.protocol.EngineMessages.CrashReport;
-import org.sardineshunt.engine.protocol.EngineMessages.Departure;
 import org.sardineshunt.engine.protocol.EngineMessages.Frame;
-import org.sardineshunt.engine.protocol.EngineMessages.Inquiry;
 
 /**
  * Runs the entry for callers and the home of one upstream. How announcements and configurations reach this process is
@@ -107,7 +105,8 @@
     private final DepartureRegistry departures = new DepartureRegistry();
     private final CrashingRequestDetector crashDetector =
             new CrashingRequestDetector(CRASH_LIMIT, CRASH_RETENTION_MILLIS);
-    private volatile FleetConfiguration configuration;
+    private final ConfigurationTracker configuration;
+    private volatile ConfigurationSource configurationSource = ConfigurationSource.NONE;
     private volatile boolean started;
     private volatile boolean ready;
     private volatile boolean stopping;
@@ -144,6 +143,13 @@
                 HttpClient.DEFAULT_MAXIMUM_RESPONSE_BYTES,
                 memory);
         network = new PeerNetwork(control, log, trafficGroup, settings.nodeId(), incarnation, memory);
+        configuration = new ConfigurationTracker(
+                control,
+                this::clock,
+                log,
+                new ControlThreadSource(),
+                (nodeId, version, onReceived) -> homeClient.fetchConfiguration(nodeId, version, onReceived),
+                this::handleAdopted);
         callerServer = new HttpServer(
                 this::callerLimits,
                 new CallerRules(settings.headers(), this::configuration),
@@ -168,18 +174,33 @@
      * @return the port for callers
      */
     public int start(TableStore store) {
+        return start(store, ConfigurationSource.NONE);
+    }
+
+    /**
+     * Opens the ports for callers and for other nodes and starts to follow the table of nodes.
+     *
+     * @param store table store of the platform
+     * @param source where the configuration is read again before a request is refused for its key
+     * @return the port for callers
+     */
+    public int start(TableStore store, ConfigurationSource source) {
+        configurationSource = source;
         directory = new NodeDirectory(control, log, store, settings.nodeId(), random, this::onDirectoryChanged);
         homeRegistry = new HomeRegistry(control, directory, settings.dataCentre(), network::isReachable);
         EngineContext context = new EngineContext(control, log, metrics, settings, incarnation, crashDetector, random);
-        home = new HomeService(context, upstreamClient, homeRegistry::baseline, new HomeListener());
+        home = new HomeService(
+                context, upstreamClient, homeRegistry::baseline, configuration::current, new HomeListener());
         PlacementPolicy placement = new PlacementPolicy(
                 Rotation.builder().floorShare(settings.limits().floorShare()).build(), TRIAL_SHARE);
         homeClient = new FleetHomeClient(control, settings.nodeId(), directory, network, home);
         acknowledger = new AnnouncementAcknowledger(control, log, settings.nodeId(), directory, homeClient);
         loadReporter = new LoadReporter(control, settings.nodeId(), directory, homeRegistry, homeClient, home);
-        entry = new EntryService(
-                context, homeClient, homeRegistry, placement, () -> Optional.ofNullable(configuration));
-        int peerPort = network.listen(settings.peerAddress(), new PeerFrameHandler());
+        entry = new EntryService(context, homeClient, homeRegistry, placement, configuration);
+        int peerPort = network.listen(
+                settings.peerAddress(),
+                new PeerFrameHandler(
+                        context, configuration, directory, homeRegistry, home, homeClient, loadReporter, departures));
         ownAddress = new PeerAddress(settings.nodeId(), settings.peerAddress().getHostString(), peerPort);
         int callerPort = callerServer.listen(trafficGroup, settings.callerAddress());
         control.execute(directory::start);
@@ -194,22 +215,21 @@
 
     /** Puts a configuration in force unless the same version or a newer one is. */
     public void configure(FleetConfiguration received) {
-        control.execute(() -> {
-            if (configuration != null && received.version() <= configuration.version()) {
-                return;
-            }
-            configuration = received;
-            log.event("configuration-adopted")
-                    .with("version", received.version())
-                    .with("routes", received.routeCount())
-                    .write();
-            becomeReadyIfLoaded();
-        });
+        configure(received, new byte[0]);
+    }
+
+    /**
+     * Puts a configuration in force unless the same version or a newer one is.
+     *
+     * @param encoded the configuration as the operators wrote it, for nodes that can't read it themselves
+     */
+    public void configure(FleetConfiguration received, byte[] encoded) {
+        control.execute(() -> configuration.adopt(received, encoded));
     }
 
     /** Returns the configuration in force; empty before the first one was received. */
     public Optional<FleetConfiguration> configuration() {
-        return Optional.ofNullable(configuration);
+        return configuration.current();
     }
 
     /** Returns whether the engine serves callers: a configuration and the nodes are known and it isn't stopping. */
@@ -344,8 +364,8 @@
     }
 
     private CallerLimits callerLimits() {
-        FleetConfiguration current = configuration;
-        CallerLimits limits = current == null ? CallerLimits.DEFAULT : current.limits();
+        CallerLimits limits =
+                configuration.current().map(FleetConfiguration::limits).orElse(CallerLimits.DEFAULT);
         return limits.withBodyBytes(Math.min(limits.bodyBytes(), PeerNetwork.MAXIMUM_BODY_BYTES));
     }
 
@@ -411,8 +431,19 @@
         publishOwnNode();
     }
 
+    private ClockReading clock() {
+        return new ClockReading(control.nowMillis(), System.currentTimeMillis());
+    }
+
+    private void handleAdopted(FleetConfiguration adopted) {
+        becomeReadyIfLoaded();
+        if (started && adopted.accounts().isPresent()) {
+            loadReporter.reportConfiguration(random);
+        }
+    }
+
     private void becomeReadyIfLoaded() {
-        if (!ready && configuration != null && directory.isLoaded()) {
+        if (!ready && configuration.current().isPresent() && directory.isLoaded()) {
             ready = true;
             log.event("ready")
                     .with("version", configuration.version())
@@ -443,55 +474,16 @@
         }
     }
 
-    private final class PeerFrameHandler implements PeerNetwork.FrameHandler {
-        @Override
-        public Runnable attempt(String nodeId, Attempt attempt, Consumer<Answer> onAnswer) {
-            loadReporter.recordSender(nodeId);
-            return home.attempt(attempt, onAnswer);
-        }
-
-        @Override
-        public void inquire(Inquiry inquiry, Consumer<Answer> onAnswer) {
-            String homeId = inquiry.getHomeNodeId();
-            if (homeId.isEmpty() || homeId.equals(settings.nodeId())) {
-                home.inquire(inquiry, onAnswer);
-                return;
-            }
-            homeClient.relayInquiry(homeId, inquiry, onAnswer);
-        }
-
+    /** The configuration source, which calls back on the control thread. */
+    private final class ControlThreadSource implements ConfigurationSource {
         @Override
-        public Answer recordDeparture(String nodeId, Departure departure) {
-            Reason reason = UpstreamRecords.tryDecode(departure.getUpstream())
-                    .peek(upstream -> departures.record(nodeId, upstream))
-                    .fold(cause -> Reason.MALFORMED_REQUEST, upstream -> Reason.NONE);
-            log.event("departure-received")
-                    .with("peer", nodeId)
-                    .with("upstream", departure.getUpstream().getId())
-                    .with("phase", departure.getUpstream().getPhase())
-                    .with("reason", reason.label())
-                    .write();
-            return Answer.newBuilder().setReason(reason.label()).build();
+        public void read(Consumer<Either<String, byte[]>> onResult) {
+            configurationSource.read(result -> control.execute(() -> onResult.accept(result)));
         }
 
         @Override
-        public Answer findDeparture(String nodeId) {
-            Answer.Builder answer = Answer.newBuilder().setReason(Reason.NONE.label());
-            departures.find(nodeId).map(UpstreamRecords::encode).ifPresent(answer::setDeparted);
-            return answer.build();
-        }
-
-        @Override
-        public void receiveOneWay(String nodeId, Frame frame) {
-            if (frame.hasLoad()) {
-                homeRegistry.recordLoad(nodeId, frame.getLoad());
-            } else if (frame.hasNode()) {
-                directory.receive(nodeId, frame.getNode());
-            } else if (frame.hasCrash()) {
-                CrashReport report = frame.getCrash();
-                crashDetector.recordCrash(
-                        control.nowMillis(), String.valueOf(report.getFingerprint()), report.getUpstreamId());
-            }
+        public Either<String, FleetConfiguration> decode(byte[] encoded) {
+            return configurationSource.decode(encoded);
         }
     }
 }
--- a/engine/src/main/java/org/sardineshunt/engine/FleetHomeClient.java
+++ b/engine/src/main/java/org/sardineshunt/engine/FleetHomeClient.java
@@ -4,13 +4,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 
 import io.vavr.control.Either;
 import org.sardineshunt.coordination.Reason;
 import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.coordination.account.RunningRequests.RunningRequest;
 import org.sardineshunt.engine.backendserver.HomeService;
 import org.sardineshunt.engine.caller.EntryService;
 import org.sardineshunt.engine.peer.KnownNode;
@@ -20,11 +20,14 @@
 import org.sardineshunt.engine.peer.PeerNetwork;
 import org.sardineshunt.engine.protocol.EngineMessages.Answer;
 import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
+import org.sardineshunt.engine.protocol.EngineMessages.ConfigurationQuery;
 import org.sardineshunt.engine.protocol.EngineMessages.Frame;
 import org.sardineshunt.engine.protocol.EngineMessages.Inquiry;
 
 /** Calls the homes of all nodes: the local one directly, others over peer links. Confined to the control thread. */
 final class FleetHomeClient implements EntryService.HomeClient {
+    private static final long CONFIGURATION_QUERY_TIMEOUT_MILLIS = 2_000;
+
     private final ControlEventLoop control;
     private final String ownId;
     private final NodeDirectory directory;
@@ -41,8 +44,13 @@
     }
 
     @Override
-    public OptionalInt rankOfRunningRequest(String requestId) {
-        return home.rankOfRunningRequest(requestId);
+    public Optional<RunningRequest> runningRequest(String requestId) {
+        return home.runningRequests().find(requestId);
+    }
+
+    @Override
+    public boolean tryAcquireCall(String requestId) {
+        return home.runningRequests().tryAcquireCall(requestId);
     }
 
     @Override
@@ -93,6 +101,27 @@
                 frame);
     }
 
+    /**
+     * Asks a node for its configuration.
+     *
+     * @param onReceived receives the encoded configuration if it is newer than the given version
+     */
+    void fetchConfiguration(String nodeId, long knownVersion, Consumer<byte[]> onReceived) {
+        Frame query = Frame.newBuilder()
+                .setConfigurationQuery(ConfigurationQuery.newBuilder().setKnownVersion(knownVersion))
+                .build();
+        callReachable(
+                directory.node(nodeId).stream(),
+                query,
+                CONFIGURATION_QUERY_TIMEOUT_MILLIS,
+                answer -> {
+                    if (!answer.getConfiguration().isEmpty()) {
+                        onReceived.accept(answer.getConfiguration().toByteArray());
+                    }
+                },
+                () -> {});
+    }
+
     /**
      * Calls those of the nodes that are reachable, except this one.
      *
--- a/engine/src/main/java/org/sardineshunt/engine/LoadReporter.java
+++ b/engine/src/main/java/org/sardineshunt/engine/LoadReporter.java
@@ -1,6 +1,10 @@
 package org.sardineshunt.engine;
 
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import org.sardineshunt.coordination.TimerService;
@@ -29,6 +33,8 @@
     private static final int NEAR_MAXIMUM_FREE_SLOTS = 2;
     private static final int FAR_MAXIMUM_FREE_SLOTS = 1;
 
+    private static final int FAR_NODES_PER_CONFIGURATION = 2;
+
     private static final double NEAR_BASE_WAIT_MILLIS = 50;
     private static final double FAR_BASE_WAIT_MILLIS = 100;
 
@@ -80,6 +86,22 @@
         send(home.createLoadReport(), directory.nodes());
     }
 
+    /**
+     * Reports to the nodes of the data centre and to a few of each other one, so that a new configuration version also
+     * becomes known where the store can't be reached; nodes that adopt it report it in turn.
+     */
+    void reportConfiguration(Random random) {
+        Map<String, List<KnownNode>> farNodes = directory
+                .nodes()
+                .filter(node -> !homeRegistry.isNear(node))
+                .collect(Collectors.groupingBy(KnownNode::dataCentre));
+        Stream<KnownNode> chosenFarNodes = farNodes.values().stream().flatMap(nodes -> random.ints(0, nodes.size())
+                .limit(FAR_NODES_PER_CONFIGURATION)
+                .distinct()
+                .mapToObj(nodes::get));
+        send(home.createLoadReport(), Stream.concat(homeRegistry.nearNodes(), chosenFarNodes));
+    }
+
     private void reportIfChanged() {
         reportScheduled = false;
         HomeLoad load = home.createLoadReport();
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
@@ -1,15 +1,14 @@
 package org.sardineshunt.engine.backendserver;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import io.vavr.control.Either;
 import org.sardineshunt.coordination.Reason;
 import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.coordination.account.RunningRequests;
 import org.sardineshunt.coordination.announcement.Announcement;
 import org.sardineshunt.coordination.announcement.Announcement.Phase;
 import org.sardineshunt.coordination.announcement.AnnouncementTracker;
@@ -19,11 +18,11 @@
 import org.sardineshunt.coordination.limit.AdmissionQueue;
 import org.sardineshunt.coordination.limit.WorkItem;
 import org.sardineshunt.coordination.rotation.HealthCondition;
+import org.sardineshunt.coordination.route.FleetConfiguration;
 import org.sardineshunt.engine.ControlEventLoop;
 import org.sardineshunt.engine.EngineContext;
 import org.sardineshunt.engine.EngineSettings;
 import org.sardineshunt.engine.EventLog;
-import org.sardineshunt.engine.MetricRegistry;
 import org.sardineshunt.engine.http.HttpClient;
 import org.sardineshunt.engine.http.HttpOutcome;
 import org.sardineshunt.engine.protocol.EngineMessages.Answer;
@@ -51,18 +50,19 @@
 
     private final ControlEventLoop control;
     private final EventLog log;
-    private final MetricRegistry metrics;
     private final EngineSettings settings;
     private final HttpClient client;
     private final UpstreamHttpMapper httpMapper;
     private final UpstreamMonitor monitor;
     private final UpstreamReachability reachability;
+    private final KeyCheck keyCheck;
+    private final AttemptLog attemptLog;
     private final Listener listener;
     private final CrashingRequestDetector crashDetector;
     private final AnnouncementTracker announcements = new AnnouncementTracker();
     private final AttemptRegistry<Answer> attemptRegistry = new AttemptRegistry<>(ANSWER_RETENTION_MILLIS);
     private final PendingAttempts pendingAttempts = new PendingAttempts();
-    private final Map<String, Integer> rankByRunningRequest = new HashMap<>();
+    private final RunningRequests runningRequests = new RunningRequests();
     private final long incarnation;
     private AdmissionQueue<PendingAttempt> queue = UpstreamQueue.create();
     private String upstreamId = "";
@@ -70,20 +70,30 @@
     private boolean stopping;
     private boolean expiryScheduled;
 
-    /** Creates a home whose upstream has not been announced yet. */
-    public HomeService(EngineContext context, HttpClient client, BaselineProvider baselines, Listener listener) {
+    /**
+     * Creates a home whose upstream has not been announced yet.
+     *
+     * @param configuration supplies the configuration in force; empty before the first one was received
+     */
+    public HomeService(
+            EngineContext context,
+            HttpClient client,
+            BaselineProvider baselines,
+            Supplier<Optional<FleetConfiguration>> configuration,
+            Listener listener) {
         control = context.control();
         log = context.log();
-        metrics = context.metrics();
         settings = context.settings();
         crashDetector = context.crashDetector();
         incarnation = context.incarnation();
         this.client = client;
+        keyCheck = new KeyCheck(configuration);
+        attemptLog = new AttemptLog(log, context.metrics());
         this.listener = listener;
         monitor = new UpstreamMonitor(context, baselines, listener);
         reachability =
                 new UpstreamReachability(control, log, this::handleRefusedConnection, listener::availabilityChanged);
-        httpMapper = new UpstreamHttpMapper(settings.headers());
+        httpMapper = new UpstreamHttpMapper(settings.headers(), keyCheck::hasAccounts);
     }
 
     /** Returns the newest announcement of the upstream, if any. */
@@ -129,10 +139,9 @@
         return pendingAttempts.size();
     }
 
-    /** Returns the rank of a request that the upstream is running; empty if it isn't running it. */
-    public OptionalInt rankOfRunningRequest(String requestId) {
-        Integer rank = rankByRunningRequest.get(requestId);
-        return rank == null ? OptionalInt.empty() : OptionalInt.of(rank);
+    /** Returns the requests that the upstream is running. */
+    public RunningRequests runningRequests() {
+        return runningRequests;
     }
 
     /**
@@ -233,6 +242,7 @@
                 .setFailurePermille(monitor.failurePermille())
                 .setSequence(++loadSequence)
                 .setIncarnation(incarnation)
+                .setConfigurationVersion(keyCheck.version())
                 .build();
     }
 
@@ -285,6 +295,9 @@
         if (!isAccepting(now)) {
             return Optional.of(Reason.BACKEND_SERVER_REFUSED);
         }
+        if (keyCheck.isRevoked(attempt)) {
+            return Optional.of(Reason.KEY_REVOKED);
+        }
         if (pendingAttempts.exceedMemory()) {
             return Optional.of(Reason.MEMORY_SHORT);
         }
@@ -326,7 +339,7 @@
         long now = control.nowMillis();
         Attempt attempt = pending.attempt();
         attemptRegistry.tryStart(pending.id());
-        rankByRunningRequest.put(attempt.getRequestId(), attempt.getRank());
+        runningRequests.start(attempt.getRequestId(), attempt.getRank(), attempt.getAccount());
         long leftMillis = pending.arrivedMillis() + attempt.getLeftMillis() - now;
         pending.markStarted(
                 now,
@@ -346,7 +359,7 @@
         long durationMillis = now - pending.startedMillis();
         Answer.Builder builder = httpMapper.toAnswer(attempt, outcome);
         boolean success = builder.getVerdict() == Verdict.RAN.ordinal() && builder.getStatus() < 500;
-        rankByRunningRequest.remove(attempt.getRequestId());
+        runningRequests.finish(attempt.getRequestId());
         // An outcome of an earlier start of the upstream says nothing about the current one.
         if (pending.upstreamId().equals(upstreamId)) {
             boolean misdirected = httpMapper.isMisdirected(attempt, outcome);
@@ -368,20 +381,7 @@
         } else {
             attemptRegistry.finish(now, id, answer);
         }
-        metrics.count("home_answers", answer.getReason());
-        metrics.observe("upstream_seconds", attempt.getService(), durationMillis);
-        if (!success) {
-            log.event("attempt-failed")
-                    .with("request", attempt.getRequestId())
-                    .with("attempt", id.toString())
-                    .with("upstream", pending.upstreamId())
-                    .with("reason", answer.getReason())
-                    .with("verdict", Verdict.values()[answer.getVerdict()].label())
-                    .with("status", answer.getStatus())
-                    .with("millis", durationMillis)
-                    .with("detail", outcome instanceof HttpOutcome.Failed failed ? failed.detail() : "")
-                    .write();
-        }
+        attemptLog.finished(pending, outcome, answer, success, durationMillis);
         pending.complete(answer);
         next.forEach(item -> start(item.payload()));
         listener.loadChanged();
@@ -431,17 +431,7 @@
     private void refuse(PendingAttempt pending, Reason reason) {
         attemptRegistry.refuse(control.nowMillis(), pending.id());
         pendingAttempts.remove(pending.id());
-        metrics.count("home_refusals", reason.label());
-        log.event("attempt-refused")
-                .with("request", pending.attempt().getRequestId())
-                .with("attempt", pending.id().toString())
-                .with("upstream", upstreamId)
-                .with("reason", reason.label())
-                .with("inFlight", queue.inFlight())
-                .with("waiting", queue.queued())
-                .with("serviceMillis", (long) monitor.lengthBiasedServiceMillis())
-                .with("leftMillis", pending.attempt().getLeftMillis())
-                .write();
+        attemptLog.refused(pending, reason, upstreamId, queue, monitor.lengthBiasedServiceMillis());
         pending.complete(refusalAnswer(reason));
     }
 
@@ -449,12 +439,7 @@
     private Answer repeatAnswer(Attempt attempt, AttemptRegistry.Arrival arrival) {
         boolean neverRuns = arrival == AttemptRegistry.Arrival.ABANDONED;
         Reason reason = arrival == AttemptRegistry.Arrival.FORGOTTEN ? Reason.LATE_ATTEMPT : Reason.DUPLICATE_ATTEMPT;
-        metrics.count("home_refusals", reason.label());
-        log.event("attempt-repeated")
-                .with("request", attempt.getRequestId())
-                .with("attempt", attempt.getAttemptId())
-                .with("arrival", arrival.name())
-                .write();
+        attemptLog.repeated(attempt, arrival, reason);
         return neverRuns
                 ? refusalAnswer(reason)
                 : UpstreamHttpMapper.failureAnswer(Verdict.MAY_HAVE_RUN, reason, true)
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamHttpMapper.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamHttpMapper.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 
 import org.sardineshunt.coordination.Reason;
@@ -28,9 +29,16 @@
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 429, 503);
 
     private final RequestHeaders headers;
+    private final BooleanSupplier accountsConfigured;
 
-    UpstreamHttpMapper(RequestHeaders headers) {
+    /**
+     * Creates a mapper.
+     *
+     * @param accountsConfigured supplies whether there are client accounts
+     */
+    UpstreamHttpMapper(RequestHeaders headers, BooleanSupplier accountsConfigured) {
         this.headers = headers;
+        this.accountsConfigured = accountsConfigured;
     }
 
     /**
@@ -40,8 +48,9 @@
      * @param leftMillis time that the upstream has for its response
      */
     HttpRequestData toRequest(Attempt attempt, String upstreamId, long leftMillis) {
-        Stream<HttpHeader> forwarded =
-                attempt.getHeadersList().stream().map(header -> new HttpHeader(header.getName(), header.getValue()));
+        Stream<HttpHeader> forwarded = attempt.getHeadersList().stream()
+                .map(header -> new HttpHeader(header.getName(), header.getValue()))
+                .filter(header -> attempt.getConfigurationVersion() > 0 || !isOfAccount(header));
         List<HttpHeader> requestHeaders = Stream.concat(
                         forwarded,
                         Stream.of(
@@ -98,6 +107,12 @@
                 .setOffered(offered);
     }
 
+    // An entry of the previous build passes on the headers of the caller, so this home removes those of accounts.
+    private boolean isOfAccount(HttpHeader header) {
+        return header.name().equalsIgnoreCase(headers.accountName())
+                || accountsConfigured.getAsBoolean() && header.name().equalsIgnoreCase(headers.accountKey());
+    }
+
     /** Returns the answer about an attempt whose outcome this home doesn't know. */
     static Answer unknownOutcome() {
         return failureAnswer(Verdict.MAY_HAVE_RUN, Reason.LINK_LOST, true).build();
--- a/engine/src/main/java/org/sardineshunt/engine/caller/AdmittedRequest.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/AdmittedRequest.java
@@ -11,6 +11,7 @@
  * @param route route that the request matches
  * @param service service chosen among those of the route
  * @param configurationVersion version of the configuration that the route belongs to
+ * @param account client account that it is served for
  * @param rank order of urgency, 0 is the most urgent
  * @param fromRunningRequest whether a request that the local upstream is running makes this one
  * @param fingerprint hash that names a request which crashes upstreams
@@ -23,6 +24,7 @@
         Route route,
         String service,
         long configurationVersion,
+        RequestAccount account,
         int rank,
         boolean fromRunningRequest,
         long fingerprint,
--- a/engine/src/main/java/org/sardineshunt/engine/caller/AttemptFactory.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/AttemptFactory.java
@@ -1,6 +1,7 @@
 package org.sardineshunt.engine.caller;
 
 import java.util.List;
+import java.util.stream.Stream;
 
 import org.sardineshunt.coordination.RendezvousHashing;
 import org.sardineshunt.engine.BodyBytes;
@@ -26,8 +27,16 @@
      */
     Attempt create(AdmittedRequest admitted, String attemptId, boolean lastResort, long leftMillis) {
         HttpRequestData request = admitted.exchange().request();
-        List<Header> forwardedHeaders = HttpHeader.endToEnd(request.headers()).stream()
+        RequestAccount account = admitted.account();
+        Stream<HttpHeader> forwardedHeaders = HttpHeader.endToEnd(request.headers()).stream()
                 .filter(header -> !settings.headers().isSetByEngine(header.name()))
+                .filter(header -> !account.accountsConfigured()
+                        || !header.name().equalsIgnoreCase(settings.headers().accountKey()));
+        // Set here and not at the home, so that homes of the previous build pass it on, too.
+        Stream<HttpHeader> accountHeader = account.hasKey()
+                ? Stream.of(new HttpHeader(settings.headers().accountName(), account.name()))
+                : Stream.empty();
+        List<Header> headers = Stream.concat(forwardedHeaders, accountHeader)
                 .map(header -> Header.newBuilder()
                         .setName(header.name())
                         .setValue(header.value())
@@ -42,7 +51,7 @@
                 .setLeftMillis((int) leftMillis)
                 .setMethod(request.method())
                 .setTarget(request.target())
-                .addAllHeaders(forwardedHeaders)
+                .addAllHeaders(headers)
                 .setBody(BodyBytes.toField(request.body()))
                 .setCallerService(settings.callerService())
                 .setLastResort(lastResort)
@@ -50,6 +59,9 @@
                 .setRoute(admitted.route().name())
                 .setFromRunningRequest(admitted.fromRunningRequest())
                 .setTargetMillis((int) admitted.route().targetLatencyMillis())
+                .setAccount(account.name())
+                .setKeyFingerprint(account.keyFingerprint())
+                .setConfigurationVersion(admitted.configurationVersion())
                 .build();
     }
 
--- a/engine/src/main/java/org/sardineshunt/engine/caller/CallerAuthorization.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/CallerAuthorization.java
@@ -14,7 +14,9 @@
 import org.sardineshunt.coordination.route.FleetConfiguration;
 import org.sardineshunt.coordination.route.Route;
 import org.sardineshunt.engine.RequestHeaders;
+import org.sardineshunt.engine.caller.RequestAdmission.Refusal;
 import org.sardineshunt.engine.http.HttpRequestData;
+import org.sardineshunt.engine.platform.ConfigurationTracker;
 
 /**
  * Decides whether a request is accepted, and for which client account. A request is refused for its key or for a missing
@@ -53,22 +55,22 @@
      *
      * @param onDecision receives the decision, before this method returns unless the configuration must be confirmed
      */
-    void authorize(HttpRequestData request, Consumer<Either<Refusal, Admission>> onDecision) {
-        Either<Refusal, Admission> decision = decide(request);
-        boolean needsConfirmation = decision.isLeft() && decision.getLeft().needsConfirmation();
-        if (!needsConfirmation) {
-            onDecision.accept(decision);
+    void authorize(HttpRequestData request, Consumer<Either<Refusal, AuthorizedRequest>> onDecision) {
+        Either<Refused, AuthorizedRequest> decision = decide(request);
+        if (decision.isRight() || !decision.getLeft().needsConfirmation()) {
+            onDecision.accept(decision.mapLeft(Refused::refusal));
             return;
         }
         // The store may have a newer configuration, so the request is judged again.
-        configuration.confirm(confirmed ->
-                onDecision.accept(decide(request).mapLeft(refusal -> confirmed ? refusal : refusal.ifUnconfirmed())));
+        configuration.confirm(confirmed -> onDecision.accept(
+                decide(request).mapLeft(refused -> confirmed ? refused.refusal() : refused.whileUnconfirmed())));
     }
 
-    private Either<Refusal, Admission> decide(HttpRequestData request) {
+    private Either<Refused, AuthorizedRequest> decide(HttpRequestData request) {
         Optional<FleetConfiguration> current = configuration.current();
         if (current.isEmpty()) {
-            return refuse(Reason.NOT_READY, UNCONFIRMED_RETRY_AFTER_MILLIS, false, "no configuration was received");
+            return refuse(
+                    Reason.NOT_READY, UNCONFIRMED_RETRY_AFTER_MILLIS, false, "no configuration has been received");
         }
         FleetConfiguration inForce = current.get();
         Optional<Route> route = inForce.match(request.header("host").orElse(""), request.path());
@@ -78,7 +80,7 @@
         }
         Optional<RunningRequest> parent = parentId(request).flatMap(runningRequest);
         if (inForce.accounts().isEmpty() || route.get().publicAccess()) {
-            return Either.right(new Admission(inForce, route.get(), Optional.empty(), 0, parent));
+            return Either.right(new AuthorizedRequest(inForce, route.get(), Optional.empty(), 0, parent));
         }
         Optional<String> key = key(request);
         return key.isPresent()
@@ -86,16 +88,16 @@
                 : decideByParent(inForce, route.get(), parentId(request), parent);
     }
 
-    private Either<Refusal, Admission> decideByKey(FleetConfiguration inForce, Route route, String key) {
+    private Either<Refused, AuthorizedRequest> decideByKey(FleetConfiguration inForce, Route route, String key) {
         KeyDigest digest = KeyDigest.of(key);
         Optional<ClientAccount> account = inForce.accounts().flatMap(accounts -> accounts.find(digest));
         return account.isPresent()
-                ? Either.right(new Admission(inForce, route, account, digest.fingerprint(), Optional.empty()))
+                ? Either.right(new AuthorizedRequest(inForce, route, account, digest.fingerprint(), Optional.empty()))
                 : refuse(Reason.KEY_UNKNOWN, 0, true, "key " + Long.toHexString(digest.fingerprint()));
     }
 
     // Upstreams call without a key. Whoever knows the ID of a running request can do so, too, but not often.
-    private Either<Refusal, Admission> decideByParent(
+    private Either<Refused, AuthorizedRequest> decideByParent(
             FleetConfiguration inForce, Route route, Optional<String> parentId, Optional<RunningRequest> parent) {
         if (parentId.isEmpty()) {
             return refuse(Reason.KEY_UNKNOWN, 0, true, "no key");
@@ -108,7 +110,7 @@
                     false,
                     "request '" + parentId.get() + "'" + cause);
         }
-        return Either.right(new Admission(inForce, route, Optional.empty(), 0, parent));
+        return Either.right(new AuthorizedRequest(inForce, route, Optional.empty(), 0, parent));
     }
 
     /** Returns whether a key with the fingerprint still belongs to an account, by the configuration in force. */
@@ -128,58 +130,24 @@
                 .filter(key -> !key.isEmpty());
     }
 
-    private static Either<Refusal, Admission> refuse(
+    private static Either<Refused, AuthorizedRequest> refuse(
             Reason reason, long retryAfterMillis, boolean needsConfirmation, String detail) {
-        return Either.left(new Refusal(reason, retryAfterMillis, needsConfirmation, detail));
-    }
-
-    /**
-     * An accepted request.
-     *
-     * @param configuration configuration by which it was accepted
-     * @param route its route
-     * @param account its client account; empty if it has none
-     * @param keyFingerprint fingerprint of its key; 0 if it has none
-     * @param parent the running request that makes it as a call; empty if none does
-     */
-    record Admission(
-            FleetConfiguration configuration,
-            Route route,
-            Optional<ClientAccount> account,
-            long keyFingerprint,
-            Optional<RunningRequest> parent) {
-        /** Returns the rank of the request: that of the request that makes it, else of the account, else of the route. */
-        int rank() {
-            return parent.map(RunningRequest::rank).orElseGet(() -> account.map(ClientAccount::rank)
-                    .filter(rank -> rank.isPresent())
-                    .map(rank -> rank.getAsInt())
-                    .orElse(route.rank()));
-        }
-
-        /** Returns the name of the account in whose turn the request is served; empty if there is none. */
-        String accountName() {
-            return account.map(ClientAccount::name)
-                    .orElse(parent.map(RunningRequest::account).orElse(""));
-        }
+        return Either.left(new Refused(new Refusal(reason, retryAfterMillis, detail), needsConfirmation));
     }
 
     /**
-     * A refused request.
+     * A refusal, and whether it holds only if the configuration is the newest.
      *
-     * @param retryAfterMillis when the caller may come back; 0 for no statement
-     * @param needsConfirmation whether the refusal holds only if the configuration is the newest
-     * @param detail description for the log
+     * @param needsConfirmation whether the configuration must be confirmed before the caller receives this refusal
      */
-    record Refusal(Reason reason, long retryAfterMillis, boolean needsConfirmation, String detail) {
-        /** Returns the refusal that applies while the configuration is not confirmed. */
-        Refusal ifUnconfirmed() {
+    private record Refused(Refusal refusal, boolean needsConfirmation) {
+        Refusal whileUnconfirmed() {
             return needsConfirmation
                     ? new Refusal(
                             Reason.CONFIGURATION_UNCONFIRMED,
                             UNCONFIRMED_RETRY_AFTER_MILLIS,
-                            false,
-                            reason.label() + ", " + detail)
-                    : this;
+                            refusal.reason().label() + ", " + refusal.detail())
+                    : refusal;
         }
     }
 }
--- a/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
@@ -3,19 +3,17 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.Supplier;
 
 import io.vavr.control.Either;
 import org.sardineshunt.coordination.Reason;
 import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.coordination.account.RunningRequests.RunningRequest;
 import org.sardineshunt.coordination.idempotency.AttemptId;
 import org.sardineshunt.coordination.limit.StopAdmission;
 import org.sardineshunt.coordination.placement.HomeView;
 import org.sardineshunt.coordination.placement.PlacementPolicy;
-import org.sardineshunt.coordination.route.FleetConfiguration;
 import org.sardineshunt.coordination.route.Route;
 import org.sardineshunt.engine.ControlEventLoop;
 import org.sardineshunt.engine.EngineContext;
@@ -23,7 +21,9 @@
 import org.sardineshunt.engine.EventLog;
 import org.sardineshunt.engine.MetricRegistry;
 import org.sardineshunt.engine.http.HttpExchange;
+import org.sardineshunt.engine.http.HttpResponseData;
 import org.sardineshunt.engine.peer.PeerFailure;
+import org.sardineshunt.engine.platform.ConfigurationTracker;
 import org.sardineshunt.engine.protocol.EngineMessages.Answer;
 import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
 import org.sardineshunt.engine.protocol.EngineMessages.Inquiry;
@@ -42,6 +42,8 @@
 
     private static final PendingRequest.Failure NOT_SENT =
             new PendingRequest.Failure(Verdict.NOT_RUN, Reason.NODE_UNREACHABLE, false);
+    private static final PendingRequest.Failure KEY_REVOKED =
+            new PendingRequest.Failure(Verdict.NOT_RUN, Reason.KEY_REVOKED, false);
     private static final PendingRequest.Failure LINK_LOST =
             new PendingRequest.Failure(Verdict.MAY_HAVE_RUN, Reason.LINK_LOST, true);
 
@@ -55,6 +57,8 @@
     private final Random random;
     private final EntryResponses responses;
     private final AttemptFactory attempts;
+    private final ConfigurationTracker configuration;
+    private final CallerAuthorization authorization;
     private final RequestAdmission admission;
     private final RetryDecision retryDecision;
     private final long incarnation;
@@ -67,14 +71,14 @@
      * @param homeClient sends attempts to homes
      * @param homeRegistry what is known of the homes
      * @param placement chooses the home of each attempt
-     * @param configuration supplies the configuration in force; empty before the first one was received
+     * @param configuration the configuration in force
      */
     public EntryService(
             EngineContext context,
             HomeClient homeClient,
             HomeRegistry homeRegistry,
             PlacementPolicy placement,
-            Supplier<Optional<FleetConfiguration>> configuration) {
+            ConfigurationTracker configuration) {
         control = context.control();
         log = context.log();
         metrics = context.metrics();
@@ -86,12 +90,10 @@
         this.homeClient = homeClient;
         this.homeRegistry = homeRegistry;
         this.placement = placement;
-        admission = new RequestAdmission(
-                settings.headers(),
-                context.crashDetector(),
-                configuration,
-                homeClient::rankOfRunningRequest,
-                random::nextDouble);
+        this.configuration = configuration;
+        authorization = new CallerAuthorization(
+                settings.headers(), configuration, homeClient::runningRequest, homeClient::tryAcquireCall);
+        admission = new RequestAdmission(settings.headers(), context.crashDetector(), random::nextDouble);
         retryDecision = new RetryDecision(
                 context.crashDetector(), responses, settings.limits().retryShare(), random::nextDouble);
     }
@@ -117,10 +119,10 @@
     }
 
     private void accept(HttpExchange exchange) {
-        admission
-                .decide(control.nowMillis(), exchange)
+        authorization.authorize(exchange.request(), decision -> decision.flatMap(
+                        authorized -> admission.decide(control.nowMillis(), exchange, authorized))
                 .peek(this::start)
-                .peekLeft(refusal -> refuse(exchange, refusal));
+                .peekLeft(refusal -> refuse(exchange, refusal)));
     }
 
     private void start(AdmittedRequest request) {
@@ -223,6 +225,7 @@
     private void handleAnswer(PendingRequest pending, PendingRequest.SentAttempt attempt, Answer answer) {
         if (answer.hasLoad()) {
             homeRegistry.recordLoad(attempt.homeId(), answer.getLoad());
+            configuration.recordPeerVersion(attempt.homeId(), answer.getLoad().getConfigurationVersion());
         }
         if (pending.hasEnded()) {
             return;
@@ -234,6 +237,10 @@
             respond(pending, new RetryDecision.Outcome(verdict, reason, EntryResponses.fromUpstream(answer)));
             return;
         }
+        if (verdict == Verdict.NOT_RUN && reason == Reason.KEY_REVOKED) {
+            handleRevokedKey(pending, attempt);
+            return;
+        }
         if (verdict == Verdict.RAN) {
             pending.recordErrorAnswer(answer);
         } else if (!answer.getOffered()) {
@@ -273,6 +280,28 @@
         }
     }
 
+    // The home refused the attempt by a newer configuration than this node had.
+    private void handleRevokedKey(PendingRequest pending, PendingRequest.SentAttempt attempt) {
+        pending.failAttempt(attempt, KEY_REVOKED);
+        configuration.confirm(confirmed -> {
+            if (pending.hasEnded()) {
+                return;
+            }
+            RequestAccount account = pending.request().account();
+            if (confirmed && authorization.isKeyOf(account.name(), account.keyFingerprint())) {
+                dispatch(pending);
+            } else if (pending.verdictSoFar() != Verdict.NOT_RUN) {
+                giveUp(pending);
+            } else {
+                Reason reason = confirmed ? Reason.KEY_REVOKED : Reason.CONFIGURATION_UNCONFIRMED;
+                long retryAfterMillis = confirmed ? 0 : CallerAuthorization.UNCONFIRMED_RETRY_AFTER_MILLIS;
+                HttpResponseData response =
+                        responses.error(pending.request().requestId(), reason.httpStatus(), retryAfterMillis);
+                respond(pending, new RetryDecision.Outcome(Verdict.NOT_RUN, reason, response));
+            }
+        });
+    }
+
     private void giveUp(PendingRequest pending) {
         respond(pending, retryDecision.giveUp(pending, () -> homes(pending.request())));
     }
@@ -354,8 +383,11 @@
 
     /** Calls homes, on this node or on others. Callbacks run on the control thread. */
     public interface HomeClient {
-        /** Returns the rank of a request that the local upstream is running; empty if it isn't running that request. */
-        OptionalInt rankOfRunningRequest(String requestId);
+        /** Returns a request that the local upstream is running; empty if it isn't running that request. */
+        Optional<RunningRequest> runningRequest(String requestId);
+
+        /** Takes one of the calls without a key that a running request may make; false if it may make no more. */
+        boolean tryAcquireCall(String requestId);
 
         /**
          * Sends an attempt to a home.
--- a/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
@@ -27,6 +27,7 @@
 import org.sardineshunt.engine.EventLog;
 import org.sardineshunt.engine.protocol.EngineMessages.Answer;
 import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
+import org.sardineshunt.engine.protocol.EngineMessages.ConfigurationQuery;
 import org.sardineshunt.engine.protocol.EngineMessages.Departure;
 import org.sardineshunt.engine.protocol.EngineMessages.DepartureQuery;
 import org.sardineshunt.engine.protocol.EngineMessages.Frame;
@@ -311,6 +312,9 @@
         /** Returns the departure of a node's upstream that was recorded, as an answer. */
         Answer findDeparture(String nodeId);
 
+        /** Returns the configuration in force if it is newer than the one that the sender knows, as an answer. */
+        Answer findConfiguration(ConfigurationQuery query);
+
         /** Handles a frame that has no reply. */
         void receiveOneWay(String nodeId, Frame frame);
     }
@@ -339,6 +343,8 @@
                 case INQUIRY -> handler.inquire(frame.getInquiry(), answer -> reply(channel, correlation, answer));
                 case DEPARTURE -> reply(channel, correlation, handler.recordDeparture(nodeId, frame.getDeparture()));
                 case DEPARTURE_QUERY -> reply(channel, correlation, findDeparture(frame.getDepartureQuery()));
+                case CONFIGURATION_QUERY -> reply(
+                        channel, correlation, handler.findConfiguration(frame.getConfigurationQuery()));
                 case CANCEL -> cancel(correlation);
                 default -> handler.receiveOneWay(nodeId, frame);
             }
--- a/engine/src/main/java/org/sardineshunt/engine/caller/ConfigurationTracker.java
+++ b/engine/src/main/java/org/sardineshunt/engine/platform/ConfigurationTracker.java
@@ -1,4 +1,4 @@
-package org.sardineshunt.engine.caller;
+package org.sardineshunt.engine.platform;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -11,7 +11,6 @@
 import org.sardineshunt.coordination.account.ClockReading;
 import org.sardineshunt.coordination.route.FleetConfiguration;
 import org.sardineshunt.engine.EventLog;
-import org.sardineshunt.engine.platform.ConfigurationSource;
 
 /**
  * The configuration in force. Confirms on request that it is the newest, by one read of the store for all requests that
--- a/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.EventLoop;
@@ -18,6 +19,7 @@
 import org.sardineshunt.coordination.route.FleetConfiguration;
 import org.sardineshunt.coordination.route.FleetConfiguration.CallerLimits;
 import org.sardineshunt.coordination.route.Route;
+import org.sardineshunt.engine.caller.FakeConfigurationSource;
 import org.sardineshunt.engine.http.HttpClient;
 import org.sardineshunt.engine.http.HttpHeader;
 import org.sardineshunt.engine.http.HttpOutcome;
@@ -53,6 +55,7 @@
     private final List<Integer> callerPorts = new ArrayList<>();
     private final List<String> logLines = new CopyOnWriteArrayList<>();
     private final FakeTable table = new FakeTable();
+    private final FakeConfigurationSource configurations = new FakeConfigurationSource();
     private int sentRequests;
 
     EngineFleet(int size) {
@@ -95,7 +98,7 @@
 
     Engine startEngine(int index) {
         Engine engine = createEngine(index);
-        int port = engine.start(table);
+        int port = engine.start(table, configurations);
         if (index < callerPorts.size()) {
             callerPorts.set(index, port);
         } else {
@@ -165,6 +168,11 @@
         return upstreams.get(index);
     }
 
+    /** Returns the store that engines read to confirm their configuration; it has none at first. */
+    FakeConfigurationSource configurations() {
+        return configurations;
+    }
+
     FakeTable table() {
         return table;
     }
@@ -192,18 +200,32 @@
     }
 
     SentRequest send(int engineIndex, String method, String path, long timeLeftMillis, String requestId) {
+        return send(engineIndex, method, path, timeLeftMillis, requestId, List.of());
+    }
+
+    SentRequest send(
+            int engineIndex,
+            String method,
+            String path,
+            long timeLeftMillis,
+            String requestId,
+            List<HttpHeader> moreHeaders) {
         CompletableFuture<HttpOutcome> outcome = new CompletableFuture<>();
         HttpClient.Call call = client.send(
                 new InetSocketAddress("127.0.0.1", callerPorts.get(engineIndex)),
                 new HttpRequestData(
                         method,
                         path + "x?q=1",
-                        List.of(
-                                new HttpHeader("Host", "h"),
-                                new HttpHeader("X-Request", requestId),
-                                new HttpHeader("X-Left", String.valueOf(timeLeftMillis)),
-                                new HttpHeader("X-Caller", "forged"),
-                                new HttpHeader("X-Expected", "forged")),
+                        Stream.concat(
+                                        Stream.of(
+                                                new HttpHeader("Host", "h"),
+                                                new HttpHeader("X-Request", requestId),
+                                                new HttpHeader("X-Left", String.valueOf(timeLeftMillis)),
+                                                new HttpHeader("X-Caller", "forged"),
+                                                new HttpHeader("X-Account", "forged"),
+                                                new HttpHeader("X-Expected", "forged")),
+                                        moreHeaders.stream())
+                                .toList(),
                         requestId.getBytes(StandardCharsets.UTF_8)),
                 new HttpClient.Options(10_000, 1_000),
                 outcome::complete);
--- a/engine/src/test/java/org/sardineshunt/engine/FakeEntry.java
+++ b/engine/src/test/java/org/sardineshunt/engine/FakeEntry.java
@@ -9,6 +9,7 @@
 import org.sardineshunt.engine.protocol.EngineMessages.Answer;
 import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
 import org.sardineshunt.engine.protocol.EngineMessages.Frame;
+import org.sardineshunt.engine.protocol.EngineMessages.Header;
 import org.sardineshunt.engine.protocol.EngineMessages.Hello;
 import org.sardineshunt.engine.protocol.EngineMessages.Inquiry;
 import org.sardineshunt.engine.protocol.EngineMessages.NodeRecord;
@@ -50,6 +51,19 @@
                         .setRoute("booking")));
     }
 
+    /** Sends a request of the previous build, which passes on all headers of the caller. */
+    Answer attemptOfPreviousBuild(String attemptId, Header header) throws IOException {
+        return call(Frame.newBuilder()
+                .setAttempt(Attempt.newBuilder()
+                        .setAttemptId(attemptId)
+                        .setRequestId("request of " + attemptId)
+                        .setService("service")
+                        .setLeftMillis(2_000)
+                        .setMethod("GET")
+                        .setTarget(EngineFleet.LOOKUP_PATH + "x")
+                        .addHeaders(header)));
+    }
+
     /** Asks how an attempt ended. */
     Answer inquire(String attemptId) throws IOException {
         return call(Frame.newBuilder()
--- a/engine/src/test/java/org/sardineshunt/engine/caller/CallerAuthorizationTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/caller/CallerAuthorizationTest.java
@@ -15,10 +15,10 @@
 import org.sardineshunt.engine.EventLog;
 import org.sardineshunt.engine.ManualTimerService;
 import org.sardineshunt.engine.RequestHeaders;
-import org.sardineshunt.engine.caller.CallerAuthorization.Admission;
-import org.sardineshunt.engine.caller.CallerAuthorization.Refusal;
+import org.sardineshunt.engine.caller.RequestAdmission.Refusal;
 import org.sardineshunt.engine.http.HttpHeader;
 import org.sardineshunt.engine.http.HttpRequestData;
+import org.sardineshunt.engine.platform.ConfigurationTracker;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
@@ -58,21 +58,27 @@
             adopted -> {});
     private final CallerAuthorization authorization =
             new CallerAuthorization(HEADERS, tracker, running::find, running::tryAcquireCall);
-    private final List<Either<Refusal, Admission>> decisions = new ArrayList<>();
+    private final List<Either<Refusal, AuthorizedRequest>> decisions = new ArrayList<>();
 
     @Test
     void acceptsAKeyForItsAccountWithoutReadingTheStore() {
         adopt(source.store(AccountConfigurations.withKeys(1, "secret")));
-        Admission admission = authorize(KEYED_PATH, "Bearer secret", "r").get();
-        assertThat(admission.accountName(), is(AccountConfigurations.ACCOUNT));
-        assertThat(admission.rank(), is(2));
+        AuthorizedRequest authorized =
+                authorize(KEYED_PATH, "Bearer secret", "r").get();
+        assertThat(authorized.requestAccount().name(), is(AccountConfigurations.ACCOUNT));
+        assertThat(authorized.rank(), is(2));
         assertThat(source.reads(), is(0));
     }
 
     @Test
     void needsNoKeyOnAPublicRouteOrWithoutAccounts() {
         adopt(AccountConfigurations.withKeys(1, "secret"));
-        assertThat(authorize(PUBLIC_PATH, "Bearer wrong", "r").get().accountName(), is(""));
+        assertThat(
+                authorize(PUBLIC_PATH, "Bearer wrong", "r")
+                        .get()
+                        .requestAccount()
+                        .name(),
+                is(""));
         adopt(AccountConfigurations.withoutAccounts(2));
         assertThat(authorize(KEYED_PATH, "", "r").get().rank(), is(5));
         assertThat(source.reads(), is(0));
@@ -99,7 +105,7 @@
     void refusesForLackOfConfirmationWhileTheStoreIsAway() {
         adopt(AccountConfigurations.withKeys(1, "secret"));
         source.setDown(true);
-        Either<Refusal, Admission> decision = authorize(KEYED_PATH, "Bearer wrong", "r");
+        Either<Refusal, AuthorizedRequest> decision = authorize(KEYED_PATH, "Bearer wrong", "r");
         assertThat(reasonOf(decision), is(Reason.CONFIGURATION_UNCONFIRMED));
         assertThat(decision.getLeft().retryAfterMillis(), is(500L));
         assertThat(reasonOf(authorize("/elsewhere/", "", "r")), is(Reason.CONFIGURATION_UNCONFIRMED));
@@ -186,9 +192,9 @@
     void acceptsCallsOfARunningRequestWithItsRankAndAccount() {
         adopt(AccountConfigurations.withKeys(1, "secret"));
         running.start("parent", 3, "shop");
-        Admission call = authorize(KEYED_PATH, "", "parent/1").get();
+        AuthorizedRequest call = authorize(KEYED_PATH, "", "parent/1").get();
         assertThat(call.rank(), is(3));
-        assertThat(call.accountName(), is("shop"));
+        assertThat(call.requestAccount().name(), is("shop"));
         assertThat("a call gets no account of its own", call.account().isEmpty(), is(true));
     }
 
@@ -198,7 +204,7 @@
         adopt(source.store(AccountConfigurations.withKeys(1, "secret")));
         Random random = new Random(20261206);
         running.start("f00d", 0, "shop");
-        Stream<Either<Refusal, Admission>> invented = IntStream.range(0, 2_000)
+        Stream<Either<Refusal, AuthorizedRequest>> invented = IntStream.range(0, 2_000)
                 .mapToObj(attempt -> authorize(KEYED_PATH, "", Long.toHexString(random.nextLong()) + "/1"));
         assertThat(
                 invented.map(CallerAuthorizationTest::reasonOf).distinct().toList(),
@@ -215,9 +221,10 @@
     void takesNoRankOfAParentForARequestWithAKey() {
         adopt(AccountConfigurations.withKeys(1, "secret"));
         running.start("parent", 0, "other");
-        Admission admission = authorize(KEYED_PATH, "Bearer secret", "parent/1").get();
-        assertThat(admission.rank(), is(2));
-        assertThat(admission.parent().isEmpty(), is(true));
+        AuthorizedRequest authorized =
+                authorize(KEYED_PATH, "Bearer secret", "parent/1").get();
+        assertThat(authorized.rank(), is(2));
+        assertThat(authorized.parent().isEmpty(), is(true));
     }
 
     @Test
@@ -229,7 +236,7 @@
         tracker.adopt(configuration, FakeConfigurationSource.encode(source.register(configuration)));
     }
 
-    private Either<Refusal, Admission> authorize(String path, String credentials, String requestId) {
+    private Either<Refusal, AuthorizedRequest> authorize(String path, String credentials, String requestId) {
         request(path, credentials, requestId);
         return decisions.get(decisions.size() - 1);
     }
@@ -242,7 +249,7 @@
         authorization.authorize(new HttpRequestData("GET", path + "x", headers, new byte[0]), decisions::add);
     }
 
-    private static Reason reasonOf(Either<Refusal, Admission> decision) {
+    private static Reason reasonOf(Either<Refusal, AuthorizedRequest> decision) {
         return decision.getLeft().reason();
     }
 }
--- a/engine/src/test/java/org/sardineshunt/engine/caller/EntryFixtures.java
+++ b/engine/src/test/java/org/sardineshunt/engine/caller/EntryFixtures.java
@@ -35,6 +35,7 @@
                 route,
                 "finder",
                 1,
+                RequestAccount.NONE,
                 route.rank(),
                 false,
                 FINGERPRINT,
--- a/engine/src/test/java/org/sardineshunt/engine/caller/RequestAdmissionTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/caller/RequestAdmissionTest.java
@@ -3,16 +3,21 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
 
 import io.vavr.control.Either;
 import org.junit.jupiter.api.Test;
 import org.sardineshunt.coordination.Reason;
+import org.sardineshunt.coordination.account.ClockReading;
+import org.sardineshunt.coordination.account.RunningRequests.RunningRequest;
 import org.sardineshunt.coordination.idempotency.CrashingRequestDetector;
 import org.sardineshunt.coordination.limit.StopAdmission;
 import org.sardineshunt.coordination.route.FleetConfiguration;
+import org.sardineshunt.engine.EventLog;
+import org.sardineshunt.engine.ManualTimerService;
 import org.sardineshunt.engine.RequestHeaders;
 import org.sardineshunt.engine.http.HttpHeader;
+import org.sardineshunt.engine.platform.ConfigurationSource;
+import org.sardineshunt.engine.platform.ConfigurationTracker;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -21,19 +26,14 @@
     private static final long NOW_MILLIS = 5_000;
 
     private final CrashingRequestDetector crashDetector = new CrashingRequestDetector(1, 10_000);
-    private final RequestHeaders headers =
-            new RequestHeaders("X-Id", "X-Left", "X-Upstream", "X-Caller", "X-Not-Run", "X-Signature", ".");
+    private final RequestHeaders headers = new RequestHeaders(
+            "X-Id", "X-Left", "X-Upstream", "X-Caller", "X-Not-Run", "X-Signature", "Authorization", "X-Account", ".");
     private Optional<FleetConfiguration> configuration = Optional.of(new FleetConfiguration(
             12,
             List.of(EntryFixtures.route(true, 3)),
             List.of(new FleetConfiguration.Service("finder", "", 4)),
             FleetConfiguration.CallerLimits.DEFAULT));
-    private final RequestAdmission admission = new RequestAdmission(
-            headers,
-            crashDetector,
-            () -> configuration,
-            id -> id.equals("running") ? OptionalInt.of(0) : OptionalInt.empty(),
-            () -> 0);
+    private final RequestAdmission admission = new RequestAdmission(headers, crashDetector, () -> 0);
 
     @Test
     void acceptsARequestWithTheRankAndTimeoutOfItsRoute() {
@@ -122,11 +122,35 @@
         List<HttpHeader> sent =
                 new ArrayList<>(List.of(new HttpHeader("Host", "shop:80"), new HttpHeader("X-Id", "id-1")));
         sent.addAll(List.of(moreHeaders));
-        return admission.decide(NOW_MILLIS, new FakeExchange(EntryFixtures.request(target, sent), millisSinceReceived));
+        return decide(new FakeExchange(EntryFixtures.request(target, sent), millisSinceReceived));
     }
 
     private Either<RequestAdmission.Refusal, AdmittedRequest> decideWithId(String requestId) {
         List<HttpHeader> sent = List.of(new HttpHeader("Host", "shop"), new HttpHeader("X-Id", requestId));
-        return admission.decide(NOW_MILLIS, new FakeExchange(EntryFixtures.request("/search/a", sent), 0));
+        return decide(new FakeExchange(EntryFixtures.request("/search/a", sent), 0));
+    }
+
+    // As the entry does, first authorizes the request, which needs no confirmation without accounts.
+    private Either<RequestAdmission.Refusal, AdmittedRequest> decide(FakeExchange exchange) {
+        ManualTimerService timers = new ManualTimerService();
+        ConfigurationTracker tracker = new ConfigurationTracker(
+                timers,
+                () -> new ClockReading(timers.nowMillis(), 0),
+                new EventLog("node", line -> {}),
+                ConfigurationSource.NONE,
+                (nodeId, knownVersion, onReceived) -> {},
+                adopted -> {});
+        configuration.ifPresent(known -> tracker.adopt(known, new byte[0]));
+        CallerAuthorization authorization = new CallerAuthorization(
+                headers,
+                tracker,
+                id -> id.equals("running") ? Optional.of(new RunningRequest(0, "")) : Optional.empty(),
+                id -> false);
+        List<Either<RequestAdmission.Refusal, AdmittedRequest>> decisions = new ArrayList<>();
+        authorization.authorize(
+                exchange.request(),
+                decision -> decisions.add(
+                        decision.flatMap(authorized -> admission.decide(NOW_MILLIS, exchange, authorized))));
+        return decisions.get(0);
     }
 }
