Weigh transfers and refusals in placement; estimate unknown homes by their data centre

Three causes, by reading: a home that had not reported to an entry counted as idle, so each entry sent it a first request that it refused; a request of 100 KB moved as easily as one of 4 KB; and once every answer was late, a small difference of the expected waits decided, whether or not the work would be refused.

An unknown home now has the median wait that homes of its data centre have reported. The cost of another data centre grows with the size of requests and responses of the route, and an expected time near the deadline costs more than lateness alone. A late answer elsewhere is still preferred to a refusal.

The directory's pauses become 15 s, and a node sends its record again when a lost link is back.

--- a/coordination/src/main/java/org/sardineshunt/coordination/placement/PlacementPolicy.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/placement/PlacementPolicy.java
@@ -35,12 +35,22 @@
     // A free slot is preferred to a short expected wait: service times that seem short may be out of date.
     private static final double NO_FREE_SLOT_PENALTY_MILLIS = 100;
 
-    // Costs as shares of the request's worth: of an answer after the target, of a response time as long as the target,
-    // and of the traffic between data centres for a request of some kilobytes.
+    // Costs as shares of the request's worth: of an answer after the target, of a refusal beyond that, of a response
+    // time as long as the target, and of the traffic between data centres for a request of some kilobytes.
     private static final double LATENESS_COST = 0.7;
+    private static final double REFUSAL_COST = 0.3;
     private static final double RESPONSE_TIME_COST = 0.1;
     private static final double CROSS_DATA_CENTRE_COST = 0.05;
 
+    // Links between data centres are narrow, so larger requests and responses cost more, but never as much as an
+    // answer that is late.
+    private static final double SMALL_TRANSFER_BYTES = 10_000;
+    private static final double MAXIMUM_CROSS_DATA_CENTRE_COST = 0.4;
+
+    // Expected times are off by about half, so work that is expected to take this share of its time left may be
+    // refused.
+    private static final double REFUSAL_RISK_START_SHARE = 0.7;
+
     // Expected times are off by about half, so from this share of the target on an answer may be late.
     private static final double LATENESS_RISK_START_SHARE = 0.6;
 
@@ -160,11 +170,21 @@
         double targetMillis = requirements.targetMillis() > 0 ? requirements.targetMillis() : DEFAULT_TARGET_MILLIS;
         double shareOfTarget =
                 (penalizedResponseMillis(home) + randomFraction * maximumJitterMillis(home)) / targetMillis;
-        double latenessRisk =
-                Math.min(1, Math.max(0, (shareOfTarget - LATENESS_RISK_START_SHARE) / (1 - LATENESS_RISK_START_SHARE)));
-        return LATENESS_COST * latenessRisk
+        double shareOfTimeLeft = shareOfTarget * targetMillis / requirements.leftMillis();
+        return LATENESS_COST * risk(shareOfTarget, LATENESS_RISK_START_SHARE)
+                + REFUSAL_COST * risk(shareOfTimeLeft, REFUSAL_RISK_START_SHARE)
                 + RESPONSE_TIME_COST * shareOfTarget
-                + (home.near() ? 0 : CROSS_DATA_CENTRE_COST);
+                + (home.near() ? 0 : crossDataCentreCost(requirements));
+    }
+
+    // Grows from 0 at the start share to 1 at a share of 1.
+    private static double risk(double share, double startShare) {
+        return Math.min(1, Math.max(0, (share - startShare) / (1 - startShare)));
+    }
+
+    private static double crossDataCentreCost(Requirements requirements) {
+        double size = Math.max(1, requirements.transferBytes() / SMALL_TRANSFER_BYTES);
+        return Math.min(MAXIMUM_CROSS_DATA_CENTRE_COST, CROSS_DATA_CENTRE_COST * size);
     }
 
     private static double penalizedResponseMillis(HomeView home) {
@@ -193,8 +213,15 @@
      *
      * @param idempotent whether running it twice is harmless
      * @param targetMillis time within which its answer is on time; 0 when unknown
+     * @param leftMillis time until its deadline
+     * @param transferBytes expected size of the request and its response together; 0 when unknown
      */
-    public record Requirements(boolean idempotent, double targetMillis) {}
+    public record Requirements(boolean idempotent, double targetMillis, double leftMillis, double transferBytes) {
+        /** Creates requirements of a small request without a deadline. */
+        public Requirements(boolean idempotent, double targetMillis) {
+            this(idempotent, targetMillis, Double.POSITIVE_INFINITY, 0);
+        }
+    }
 
     /**
      * A chosen home.
--- a/coordination/src/test/java/org/sardineshunt/coordination/placement/PlacementPolicyTest.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/placement/PlacementPolicyTest.java
@@ -35,6 +35,24 @@
         assertThat(chosen(new Requirements(false, 8_000), near("a", 8), far("b", 6)), is("a"));
     }
 
+    /** Large responses filled the narrow links between data centres although the own one would have served them, too. */
+    @Test
+    void keepsLargeTransfersInTheOwnDataCentreUnlessTheyWouldBeLate() {
+        Requirements small = new Requirements(true, 1_500, 4_000, 5_000);
+        Requirements large = new Requirements(true, 1_500, 4_000, 100_000);
+        assertThat(chosen(small, near("a", 6), far("b", 0)), is("b"));
+        assertThat(chosen(large, near("a", 6), far("b", 0)), is("a"));
+        assertThat(chosen(large, near("a", 12), far("b", 0)), is("b"));
+    }
+
+    /** In an overload every answer is late; work was refused although another data centre would have served it late. */
+    @Test
+    void prefersALateAnswerElsewhereToARefusalInTheOwnDataCentre() {
+        Requirements requirements = new Requirements(false, 1_500, 2_400, 5_000);
+        assertThat(chosen(requirements, near("a", 17), far("b", 14)), is("b"));
+        assertThat(chosen(requirements, near("a", 40), far("b", 40)), is("a"));
+    }
+
     /** Requests that used to take 1 ms hang now; they must not pile up at a full home while another is idle. */
     @Test
     void prefersAFreeSlotToAShortExpectedWait() {
--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -385,21 +384,14 @@
                 home.announcement(),
                 PeerNetwork.PROTOCOL_LEVEL);
         directory.publish(ownNode, () -> ownNode.upstream().ifPresent(acknowledger::recordStored));
-        sendOwnRecord(directory.nodes());
-    }
-
-    private void sendOwnRecord(Stream<KnownNode> receivers) {
-        directory
-                .ownRecord()
-                .map(node -> Frame.newBuilder().setNode(node).build())
-                .ifPresent(frame -> homeClient.sendOneWay(receivers, frame));
+        homeClient.sendOwnRecord(directory.nodes());
     }
 
     private void onDirectoryChanged() {
         // A node that is new here may not have received this node's record.
         homeRegistry.handleRestarts(address -> {
             network.probeIfLost(address);
-            sendOwnRecord(directory.node(address.nodeId()).stream());
+            homeClient.sendOwnRecord(directory.node(address.nodeId()).stream());
         });
         network.forgetLostNodesExcept(directory.nodes().map(KnownNode::address).collect(Collectors.toSet()));
         directory.storedUpstreams().forEach(departures::recordStored);
--- a/engine/src/main/java/org/sardineshunt/engine/FleetHomeClient.java
+++ b/engine/src/main/java/org/sardineshunt/engine/FleetHomeClient.java
@@ -122,6 +122,14 @@
                 () -> {});
     }
 
+    /** Sends this node's record, once it has one, to those of the nodes that are reachable. */
+    void sendOwnRecord(Stream<KnownNode> nodes) {
+        directory
+                .ownRecord()
+                .map(record -> Frame.newBuilder().setNode(record).build())
+                .ifPresent(frame -> sendOneWay(nodes, frame));
+    }
+
     /**
      * Calls those of the nodes that are reachable, except this one.
      *
--- a/engine/src/main/java/org/sardineshunt/engine/PeerFrameHandler.java
+++ b/engine/src/main/java/org/sardineshunt/engine/PeerFrameHandler.java
@@ -88,6 +88,11 @@
         return answer.build();
     }
 
+    @Override
+    public void regained(String nodeId) {
+        homeClient.sendOwnRecord(directory.node(nodeId).stream());
+    }
+
     @Override
     public void receiveOneWay(String nodeId, Frame frame) {
         if (frame.hasLoad()) {
--- a/engine/src/main/java/org/sardineshunt/engine/caller/CallerAuthorization.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/CallerAuthorization.java
@@ -19,8 +19,9 @@
 import org.sardineshunt.engine.platform.ConfigurationTracker;
 
 /**
- * Decides whether a request is accepted, and for which client account. A request is refused for its key or for a missing
- * route only by a configuration that was confirmed as the newest. Confined to the control thread.
+ * Decides whether a request is accepted, and for which client account. A request is refused for its key only by a
+ * configuration that was confirmed as the newest. A missing route isn't confirmed, because requests without a route are
+ * frequent and each confirmation is a call of the store. Confined to the control thread.
  */
 final class CallerAuthorization {
     /** When to come back if the configuration could not be confirmed. */
@@ -76,7 +77,7 @@
         Optional<Route> route = inForce.match(request.header("host").orElse(""), request.path());
         if (route.isEmpty()) {
             String detail = "no route found in configuration version " + inForce.version();
-            return refuse(Reason.NO_ROUTE, 0, inForce.accounts().isPresent(), detail);
+            return refuse(Reason.NO_ROUTE, 0, false, detail);
         }
         Optional<RunningRequest> parent = parentId(request).flatMap(runningRequest);
         if (inForce.accounts().isEmpty() || route.get().publicAccess()) {
--- a/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
@@ -14,6 +14,7 @@
 import org.sardineshunt.coordination.limit.StopAdmission;
 import org.sardineshunt.coordination.placement.HomeView;
 import org.sardineshunt.coordination.placement.PlacementPolicy;
+import org.sardineshunt.coordination.placement.TransferEstimate;
 import org.sardineshunt.coordination.route.Route;
 import org.sardineshunt.engine.ControlEventLoop;
 import org.sardineshunt.engine.EngineContext;
@@ -47,6 +48,8 @@
     private static final PendingRequest.Failure LINK_LOST =
             new PendingRequest.Failure(Verdict.MAY_HAVE_RUN, Reason.LINK_LOST, true);
 
+    private static final int MAXIMUM_ESTIMATED_ROUTES = 1_000;
+
     private final ControlEventLoop control;
     private final EventLog log;
     private final MetricRegistry metrics;
@@ -62,6 +65,7 @@
     private final RequestAdmission admission;
     private final RetryDecision retryDecision;
     private final long incarnation;
+    private final TransferEstimate transfers = new TransferEstimate(MAXIMUM_ESTIMATED_ROUTES);
     private long lastAttemptNumber;
     private final Set<PendingRequest> pendingRequests = new LinkedHashSet<>();
 
@@ -145,7 +149,7 @@
         Optional<PlacementPolicy.Choice> choice = placement.choose(
                 homes(pending.request()),
                 pending.triedHomes(),
-                requirements(pending.request().route()),
+                requirements(pending.request(), leftMillis),
                 random::nextDouble);
         if (choice.isEmpty() || retryDecision.hasTooManyFailures(pending)) {
             giveUp(pending);
@@ -158,8 +162,10 @@
         return homeRegistry.homes(request.service(), request.rank(), request.fromRunningRequest());
     }
 
-    private static PlacementPolicy.Requirements requirements(Route route) {
-        return new PlacementPolicy.Requirements(route.idempotent(), route.targetLatencyMillis());
+    private PlacementPolicy.Requirements requirements(AdmittedRequest request, long leftMillis) {
+        Route route = request.route();
+        return new PlacementPolicy.Requirements(
+                route.idempotent(), route.targetLatencyMillis(), leftMillis, transfers.bytes(route.name()));
     }
 
     private void sendAttempt(PendingRequest pending, PlacementPolicy.Choice choice, long leftMillis) {
@@ -233,6 +239,7 @@
         Verdict verdict = Verdict.ofOrdinal(answer.getVerdict()).orElse(Verdict.MAY_HAVE_RUN);
         Reason reason = Reason.ofPeerLabel(answer.getReason());
         if (verdict == Verdict.RAN && reason == Reason.NONE) {
+            recordTransfer(pending.request(), answer);
             pending.completeAttempt(attempt);
             respond(pending, new RetryDecision.Outcome(verdict, reason, EntryResponses.fromUpstream(answer)));
             return;
@@ -347,6 +354,11 @@
                 .write();
     }
 
+    private void recordTransfer(AdmittedRequest request, Answer answer) {
+        long requestBytes = request.exchange().request().body().length;
+        transfers.record(request.route().name(), requestBytes + answer.getBody().size());
+    }
+
     private void respond(PendingRequest pending, RetryDecision.Outcome outcome) {
         AdmittedRequest request = pending.request();
         pending.end();
--- a/engine/src/main/java/org/sardineshunt/engine/caller/HomeRegistry.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/HomeRegistry.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import org.sardineshunt.coordination.TimerService;
@@ -60,9 +61,11 @@
     public List<HomeView> homes(String service, int rank, boolean fromRunningRequest) {
         long now = timers.nowMillis();
         double medianServiceMillis = baseline(service).medianLatencyMillis();
+        int waitIndex = 2 * rank + (fromRunningRequest ? 0 : 1);
+        Map<String, Double> typicalWaits = typicalWaitsByDataCentre(now, service, waitIndex);
         return directory.homes(service).stream()
                 .filter(node -> !node.stopping() && reachable.test(node.address()))
-                .map(node -> view(now, node, 2 * rank + (fromRunningRequest ? 0 : 1), medianServiceMillis))
+                .map(node -> view(now, node, new ServiceView(waitIndex, medianServiceMillis, typicalWaits)))
                 .toList();
     }
 
@@ -141,19 +144,43 @@
         return node.dataCentre().equals(dataCentre);
     }
 
-    private HomeView view(long now, KnownNode node, int waitIndex, double medianServiceMillis) {
+    // The median of the waits in recent reports. Without it, entries took each home of a full data centre that had not
+    // reported to them for idle, and each of them sent it work that it refused.
+    private Map<String, Double> typicalWaitsByDataCentre(long now, String service, int waitIndex) {
+        Map<String, List<Double>> waits = directory.homes(service).stream()
+                .filter(node -> isFresh(now, stateOf(node.address().nodeId())))
+                .collect(Collectors.groupingBy(
+                        KnownNode::dataCentre,
+                        Collectors.mapping(
+                                node -> waitMillis(stateOf(node.address().nodeId()).load, waitIndex),
+                                Collectors.toList())));
+        return waits.entrySet().stream()
+                .collect(Collectors.toMap(Map.Entry::getKey, entry -> median(entry.getValue())));
+    }
+
+    private static double median(List<Double> values) {
+        return values.stream().sorted().skip(values.size() / 2).findFirst().orElse(0.0);
+    }
+
+    private static boolean isFresh(long now, HomeState state) {
+        return state.load != null && now - state.reportedMillis < MAXIMUM_LOAD_AGE_MILLIS;
+    }
+
+    private HomeView view(long now, KnownNode node, ServiceView service) {
         String nodeId = node.address().nodeId();
         HomeState state = stateOf(nodeId);
         int slots = Math.max(1, node.upstream().orElseThrow().slots());
-        boolean fresh = state.load != null && now - state.reportedMillis < MAXIMUM_LOAD_AGE_MILLIS;
+        boolean fresh = isFresh(now, state);
         int reportedRequests = fresh
                 ? Math.max(0, state.load.getInFlight()) + Math.max(0, state.load.getWaiting()) + state.sentSinceReport
                 : 0;
         int outstandingRequests = Math.max(reportedRequests, state.outstanding);
         double serviceMillis = state.load == null || state.load.getServiceMillis() <= 0
-                ? medianServiceMillis
+                ? service.medianServiceMillis()
                 : state.load.getServiceMillis();
-        double reportedWaitMillis = fresh ? waitMillis(state.load, waitIndex) : 0;
+        double reportedWaitMillis = fresh
+                ? waitMillis(state.load, service.waitIndex())
+                : service.typicalWaits().getOrDefault(node.dataCentre(), 0.0);
         // Attempts that the report doesn't include, and the one to be placed, wait if they exceed the free slots.
         int unreportedRequests = fresh ? state.sentSinceReport : state.outstanding;
         int freeSlots = fresh ? Math.max(0, slots - state.load.getInFlight()) : slots;
@@ -182,6 +209,15 @@
         return stateByNodeId.computeIfAbsent(nodeId, id -> new HomeState());
     }
 
+    /**
+     * What is known of all homes of a service.
+     *
+     * @param waitIndex index of the wait of the work to be placed in load reports
+     * @param medianServiceMillis median service time
+     * @param typicalWaits median reported wait in milliseconds by data centre, where a home has reported recently
+     */
+    private record ServiceView(int waitIndex, double medianServiceMillis, Map<String, Double> typicalWaits) {}
+
     /** The last report of one home, and this node's own attempts there. */
     private static final class HomeState {
         private HomeLoad load;
--- a/engine/src/main/java/org/sardineshunt/engine/peer/NodeDirectory.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/NodeDirectory.java
@@ -31,8 +31,9 @@
     private static final String TABLE = "sardineshunt-nodes";
 
     // Nodes send their records to each other, so the table only repairs what was missed. Every change of the table
-    // costs a call of every node, so a longer pause saves calls by the square of the fleet's size.
-    private static final long CHANGE_PAUSE_MILLIS = 5_000;
+    // costs a call of every node, so a longer pause saves calls by the square of the fleet's size. It stays below the
+    // history of the table, so that the next call still has the changes.
+    private static final long CHANGE_PAUSE_MILLIS = 15_000;
 
     // Nodes that start together read the table before the others have written to it.
     private static final long FIRST_CHANGE_PAUSE_MILLIS = 1_000;
--- a/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
@@ -269,6 +269,7 @@
                 }
             } else if (lostNodes.remove(address) != null) {
                 log.event("peer-regained").with("peer", address.nodeId()).write();
+                handler.regained(address.nodeId());
             }
         }
 
@@ -315,6 +316,9 @@
         /** Returns the configuration in force if it is newer than the one that the sender knows, as an answer. */
         Answer findConfiguration(ConfigurationQuery query);
 
+        /** Called when a lost node is reachable again; it has missed what was sent meanwhile. */
+        void regained(String nodeId);
+
         /** Handles a frame that has no reply. */
         void receiveOneWay(String nodeId, Frame frame);
     }
