Let no request wait at a full home while a near one has a free slot

Callers saw requests queue at one upstream while the slots of others of the same service stayed free. EngineTest met this now and then beside busy processes: refusesTheQueueOfAnUpstreamThatFailsFast and sendsNoRequestToALostHome never saw all slots taken.

Cause: a full home costs its expected wait plus a fixed 100 ms, and both that wait and the service time of an idle home are estimates from earlier requests. An estimate that is off by more than 100 ms decided where everything waited. A slowly starting node sends its first requests only to homes that it knows already; their estimates fall from the assumed 300 ms to a few milliseconds, while a home with two to four requests stays near 300 ms, because the estimate weighs a request by its length.

Change: full homes are left out while a healthy home of the own data centre has a free slot and is expected to answer in time, jitter included. Waiting at a full home remains possible if the free one would endanger the target, isn't healthy or is in another data centre.

The regression test in PlacementPolicyTest places 12 hanging requests on homes with estimates of 4, 298 and 572 ms: 12, 0, 0 before and 4, 4, 4 after.

--- a/coordination/src/main/java/org/sardineshunt/coordination/placement/PlacementPolicy.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/placement/PlacementPolicy.java
@@ -144,7 +144,8 @@
         List<HomeView> notAvoided =
                 homes.stream().filter(home -> !home.avoided()).toList();
         double startFraction = random.getAsDouble();
-        List<HomeView> candidates = notAvoided.isEmpty() ? homes : notAvoided;
+        List<HomeView> candidates =
+                withoutNeedlessWaits(notAvoided.isEmpty() ? homes : notAvoided, requirements.targetMillis());
         int offset = (int) (startFraction * Math.max(1, candidates.size()));
         return java.util.stream.IntStream.range(0, candidates.size())
                 .mapToObj(index -> candidates.get((index + offset) % candidates.size()))
@@ -153,25 +154,48 @@
                 .map(RatedHome::home);
     }
 
+    // Leaves out full homes while a healthy one of the own data centre has a free slot and answers in time. The wait at
+    // a full home is known only from service times of earlier requests: after 100 requests of 4 ms there, and 2 at the
+    // other homes, an entry queued 28 hanging requests at that home while 8 slots of the others stayed free.
+    private static List<HomeView> withoutNeedlessWaits(List<HomeView> homes, double targetMillis) {
+        boolean freeSlotInTime = homes.stream()
+                .anyMatch(home -> home.near()
+                        && home.condition() == HealthCondition.HEALTHY
+                        && hasFreeSlot(home)
+                        && latenessRisk(home, targetMillis, 1) == 0);
+        return freeSlotInTime
+                ? homes.stream().filter(PlacementPolicy::hasFreeSlot).toList()
+                : homes;
+    }
+
+    private static boolean hasFreeSlot(HomeView home) {
+        return home.outstandingRequests() < home.slots();
+    }
+
     // The share of the answer's worth that is expected to be lost. An answer within the target is worth nearly all of
     // it whenever it arrives, so another data centre is used to save time only once the wait in the own one endangers
     // the target.
     private static double expectedCost(HomeView home, Requirements requirements, double randomFraction) {
-        double targetMillis = requirements.targetMillis() > 0 ? requirements.targetMillis() : DEFAULT_TARGET_MILLIS;
-        double shareOfTarget =
-                (penalizedResponseMillis(home) + randomFraction * maximumJitterMillis(home)) / targetMillis;
-        double latenessRisk =
-                Math.min(1, Math.max(0, (shareOfTarget - LATENESS_RISK_START_SHARE) / (1 - LATENESS_RISK_START_SHARE)));
-        return LATENESS_COST * latenessRisk
-                + RESPONSE_TIME_COST * shareOfTarget
+        return LATENESS_COST * latenessRisk(home, requirements.targetMillis(), randomFraction)
+                + RESPONSE_TIME_COST * shareOfTarget(home, requirements.targetMillis(), randomFraction)
                 + (home.near() ? 0 : CROSS_DATA_CENTRE_COST);
     }
 
+    private static double latenessRisk(HomeView home, double targetMillis, double randomFraction) {
+        double shareOfTarget = shareOfTarget(home, targetMillis, randomFraction);
+        return Math.min(1, Math.max(0, (shareOfTarget - LATENESS_RISK_START_SHARE) / (1 - LATENESS_RISK_START_SHARE)));
+    }
+
+    private static double shareOfTarget(HomeView home, double targetMillis, double randomFraction) {
+        return (penalizedResponseMillis(home) + randomFraction * maximumJitterMillis(home))
+                / (targetMillis > 0 ? targetMillis : DEFAULT_TARGET_MILLIS);
+    }
+
     private static double penalizedResponseMillis(HomeView home) {
         double load = (double) home.outstandingRequests() / Math.max(1, home.slots());
         return expectedResponseMillis(home) * (1 + LOAD_PENALTY_SHARE * Math.min(1, load))
                 + conditionPenaltyMillis(home)
-                + (home.outstandingRequests() < home.slots() ? 0 : NO_FREE_SLOT_PENALTY_MILLIS);
+                + (hasFreeSlot(home) ? 0 : NO_FREE_SLOT_PENALTY_MILLIS);
     }
 
     // Entries with the same knowledge must not all choose the same home, and each upstream must receive work now and
--- a/coordination/src/test/java/org/sardineshunt/coordination/placement/PlacementPolicyTest.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/placement/PlacementPolicyTest.java
@@ -1,7 +1,9 @@
 package org.sardineshunt.coordination.placement;
 
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
 import org.sardineshunt.coordination.placement.PlacementPolicy.Requirements;
@@ -49,6 +51,35 @@
         assertThat(chosen, is("idle"));
     }
 
+    /**
+     * Guards against idle slots beside a queue: one home had answered 100 requests in 4 ms, the other two little more
+     * than the assumed 300 ms, so 36 hanging requests all went to the four slots of the first.
+     */
+    @Test
+    void fillsTheFreeSlotsOfHomesThatSeemSlowBeforeRequestsWait() {
+        int[] outstanding = {0, 0, 0};
+        Random random = new Random(20_261_206);
+        IntStream.range(0, 12).forEach(request -> {
+            List<HomeView> homes = List.of(
+                    home("0", true, outstanding[0], 4, HealthCondition.HEALTHY),
+                    home("1", true, outstanding[1], 298, HealthCondition.HEALTHY),
+                    home("2", true, outstanding[2], 572, HealthCondition.HEALTHY));
+            PlacementPolicy.Choice choice =
+                    policy.choose(homes, Set.of(), BOOKING, random::nextDouble).orElseThrow();
+            outstanding[Integer.parseInt(choice.home().nodeId())]++;
+        });
+        assertThat(List.of(outstanding[0], outstanding[1], outstanding[2]), is(List.of(4, 4, 4)));
+    }
+
+    @Test
+    void waitsAtAFullHomeRatherThanTakeAFreeSlotWhereTheAnswerWouldBeLate() {
+        HomeView full = home("full", true, 4, 100, HealthCondition.HEALTHY);
+
+        assertThat(chosen(BOOKING, full, home("slow", true, 0, 1_400, HealthCondition.HEALTHY)), is("full"));
+        assertThat(chosen(BOOKING, full, home("gray", true, 0, 5, HealthCondition.UNHEALTHY)), is("full"));
+        assertThat(chosen(BOOKING, full, home("far", false, 0, 400, HealthCondition.HEALTHY)), is("full"));
+    }
+
     @Test
     void prefersTheFasterUpstream() {
         assertThat(
