Count a memory holder as slow only from its first bytes

The eviction score multiplies bytes by the time since the last progress. A peer link keeps its holder while it is idle, so its first large frame after a minute without traffic had the highest score of all holders: when memory was short, the link was closed although it had made no one wait.

MemoryBudgetTest.sparesAHolderThatWasEmptyForLong failed before (the link was evicted instead of a stalled holder).

--- a/coordination/src/main/java/org/sardineshunt/coordination/memory/MemoryBudget.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/memory/MemoryBudget.java
@@ -201,6 +201,10 @@
                 if (closed) {
                     return false;
                 }
+                if (bytes == 0) {
+                    // Time during which a holder had nothing to move on does not make it slow.
+                    progressMillis = nowMillis;
+                }
                 boolean fits = small
                         ? smallBytes + addedBytes <= smallCapacityBytes
                         : makeRoom(nowMillis, addedBytes, victims);
--- a/coordination/src/test/java/org/sardineshunt/coordination/memory/MemoryBudgetTest.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/memory/MemoryBudgetTest.java
@@ -63,6 +63,20 @@
         assertThat(evicted, contains("slow"));
     }
 
+    /** Guards against closing a peer link for its first large frame after a long time without traffic. */
+    @Test
+    void sparesAHolderThatWasEmptyForLong() {
+        Holder link = open("link", 0);
+        link.tryReserve(0, 1_000);
+        link.release(0, 1_000);
+        open("stalled", 55_000).tryReserve(55_000, 500_000);
+
+        assertThat(link.tryReserve(60_000, 300_000), is(true));
+        assertThat(open("new", 60_010).tryReserve(60_010, 200_000), is(true));
+
+        assertThat(evicted, contains("stalled"));
+    }
+
     /** Guards against a large new request that pushes out many that are smaller and make progress. */
     @Test
     void refusesAHolderThatWouldBeTheFirstToBeEvicted() {
