Keep a running node when the table still has the row of its earlier process

When two nodes restart together, one can receive the record of the other before its first read of the table, which still has the row of the process before. That row has another, unknown incarnation and was taken for a restart: the running process counted as over, and all its later records and rows were ignored until it restarted again. The same held for a row that the table delivers late after two restarts in quick succession.

A row with an unknown incarnation now counts only if its start time is later or if the table has already shown the process of the latest record; rows of one node arrive in order, so a clock that was set back hides no later process.

NodeRecordOrderTest.ignoresTheRowOfAnEarlierProcessThatWasNotKnown failed before.

--- a/engine/src/main/java/org/sardineshunt/engine/peer/NodeRecordOrder.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/NodeRecordOrder.java
@@ -19,7 +19,12 @@
     /** Returns whether a record that the node itself has sent is newer, and keeps it as the latest if it is. */
     boolean acceptSent(String nodeId, long incarnation, long sequence) {
         Latest latest = latestByNode.get(nodeId);
-        return accept(nodeId, incarnation, sequence, latest == null || sequence > latest.sequence());
+        boolean accepted = latest == null
+                || (incarnation == latest.incarnation() ? sequence > latest.sequence() : !latest.follows(incarnation));
+        if (accepted) {
+            keep(nodeId, latest, incarnation, sequence, false);
+        }
+        return accepted;
     }
 
     /**
@@ -28,7 +33,17 @@
      */
     boolean acceptStored(String nodeId, long incarnation, long sequence) {
         Latest latest = latestByNode.get(nodeId);
-        return accept(nodeId, incarnation, sequence, latest == null || sequence == 0 || sequence >= latest.sequence());
+        if (latest == null || incarnation == latest.incarnation()) {
+            boolean accepted = latest == null || sequence == 0 || sequence >= latest.sequence();
+            keep(nodeId, latest, incarnation, accepted ? sequence : latest.sequence(), true);
+            return accepted;
+        }
+        // Until the table has shown the process that sent the latest record, it may still hold the row of one before.
+        boolean accepted = !latest.follows(incarnation) && (latest.stored() || incarnation > latest.incarnation());
+        if (accepted) {
+            keep(nodeId, latest, incarnation, sequence, true);
+        }
+        return accepted;
     }
 
     /** Forgets a node whose row was removed. */
@@ -36,31 +51,33 @@
         latestByNode.remove(nodeId);
     }
 
-    private boolean accept(String nodeId, long incarnation, long sequence, boolean newerInIncarnation) {
-        Latest latest = latestByNode.get(nodeId);
-        boolean accepted = latest == null
-                || (incarnation == latest.incarnation()
-                        ? newerInIncarnation
-                        : !latest.earlierIncarnations().contains(incarnation));
-        if (accepted) {
-            latestByNode.put(
-                    nodeId,
-                    latest == null
-                            ? new Latest(incarnation, sequence, List.of())
-                            : latest.followedBy(incarnation, sequence));
-        }
-        return accepted;
+    private void keep(String nodeId, Latest latest, long incarnation, long sequence, boolean stored) {
+        latestByNode.put(
+                nodeId,
+                latest == null
+                        ? new Latest(incarnation, sequence, stored, List.of())
+                        : latest.followedBy(incarnation, sequence, stored));
     }
 
-    private record Latest(long incarnation, long sequence, List<Long> earlierIncarnations) {
-        Latest followedBy(long newIncarnation, long newSequence) {
+    /**
+     * The latest record of a node.
+     *
+     * @param stored whether the table has shown a record of this incarnation
+     * @param earlierIncarnations incarnations that this one has followed, the last one first
+     */
+    private record Latest(long incarnation, long sequence, boolean stored, List<Long> earlierIncarnations) {
+        boolean follows(long otherIncarnation) {
+            return earlierIncarnations.contains(otherIncarnation);
+        }
+
+        Latest followedBy(long newIncarnation, long newSequence, boolean newStored) {
             if (newIncarnation == incarnation) {
-                return new Latest(incarnation, newSequence, earlierIncarnations);
+                return new Latest(incarnation, newSequence, stored || newStored, earlierIncarnations);
             }
             List<Long> earlier = Stream.concat(Stream.of(incarnation), earlierIncarnations.stream())
                     .limit(MAXIMUM_EARLIER_INCARNATIONS)
                     .toList();
-            return new Latest(newIncarnation, newSequence, earlier);
+            return new Latest(newIncarnation, newSequence, newStored, earlier);
         }
     }
 }
--- a/engine/src/test/java/org/sardineshunt/engine/peer/NodeRecordOrderTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/peer/NodeRecordOrderTest.java
@@ -36,6 +36,33 @@
         assertThat(order.acceptStored("a", 90, 1), is(true));
     }
 
+    /**
+     * A node that restarts together with this one sends its record before the table has it. The row of its earlier process
+     * must not make the running one count as over, which would hide all its later records.
+     */
+    @Test
+    void ignoresTheRowOfAnEarlierProcessThatWasNotKnown() {
+        assertThat(order.acceptSent("a", 200, 1), is(true));
+        assertThat(order.acceptStored("a", 100, 7), is(false));
+        assertThat(order.acceptSent("a", 200, 2), is(true));
+        assertThat(order.acceptStored("a", 200, 2), is(true));
+    }
+
+    /** The row of a restarted node must count although its clock was set back, once the table has shown the process before. */
+    @Test
+    void acceptsTheRowOfALaterProcessWithAnEarlierStartTime() {
+        assertThat(order.acceptSent("a", 100, 2), is(true));
+        assertThat(order.acceptStored("a", 100, 1), is(false));
+        assertThat(order.acceptStored("a", 90, 1), is(true));
+    }
+
+    /** A process that crashed before its row was stored must not hide the rows of the next one. */
+    @Test
+    void acceptsTheRowOfALaterProcessAlthoughTheOneBeforeStoredNone() {
+        assertThat(order.acceptSent("a", 100, 1), is(true));
+        assertThat(order.acceptStored("a", 101, 1), is(true));
+    }
+
     /** Nodes of the build before send no records, and their rows have no sequence. */
     @Test
     void acceptsEachRowOfANodeWithoutSequences() {
