--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -75,8 +75,7 @@
     private static final long SHUTDOWN_TIMEOUT_MILLIS = 500;
 
     // Share of the heap that buffers bodies and responses, but at most the given share of the process's memory. The
-    // rest
-    // is for the engine's own objects and for the garbage between two collections.
+    // rest is for the engine's own objects and for the garbage between two collections.
     private static final double BUFFER_SHARE_OF_HEAP = 0.4;
     private static final double BUFFER_SHARE_OF_MEMORY = 0.25;
 
