Don't count the delay of a home as latency of its upstreams

Callers lost the use of healthy upstreams: on a machine without free processor time a flood ejected them although they answered quickly (EjectionTest.floodEjectsNoHealthyUpstreamAndKeepsUrgentRequestsOnTime).

Cause: the home measured a latency from the start of a request to the moment when its control thread processed the answer, and its periodic check counted each request in flight as overdue by that clock. A control thread that is late makes both large. A late check also runs before the answers that arrived meanwhile, so requests that were answered long ago counted as overdue. The delay differs between nodes, so the baseline of the group doesn't hide it.

Change: the time of an answer is taken on the client's thread. The queue's estimate of slot times is unchanged, because a slot is held until the control thread frees it.

--- a/node/src/main/java/org/sardineshunt/node/backendserver/HomeService.java
+++ b/node/src/main/java/org/sardineshunt/node/backendserver/HomeService.java
@@ -10,6 +10,7 @@
 import org.jboss.logging.Logger;
 import org.sardineshunt.coordination.Reason;
 import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.coordination.health.ActiveClock;
 import org.sardineshunt.coordination.health.HealthPolicy;
 import org.sardineshunt.coordination.health.UpstreamHealth.Outcome;
 import org.sardineshunt.coordination.idempotency.AttemptId;
@@ -65,6 +66,7 @@
     private final HealthPolicy healthPolicy = HealthPolicy.builder()
             .maximumBaselineAgeMillis(MAXIMUM_BASELINE_AGE_MILLIS)
             .build();
+    private final ActiveClock clock;
     private final Map<String, HomeUpstream> upstreams = new TreeMap<>();
     private final AttemptRegistry<Answer> attempts = new AttemptRegistry<>(ANSWER_RETENTION_MILLIS);
     private boolean stopping;
@@ -85,6 +87,7 @@
         this.membership = membership;
         this.rotations = rotations;
         this.client = client;
+        this.clock = new ActiveClock(TICK_PERIOD_MILLIS, control.nowMillis());
         this.baselineExchange = new BaselineExchange(control, peers);
         this.publisher =
                 new UpstreamPublisher(control, membership, configuration, baselineExchange, upstreams.values());
@@ -102,7 +105,7 @@
     public long announce(Announcement announcement) {
         HomeUpstream upstream = upstreams.computeIfAbsent(announcement.id(), id -> {
             LOG.infof("upstream '%s' of service '%s' announced itself", id, announcement.service());
-            return new HomeUpstream(announcement, settings, healthPolicy);
+            return new HomeUpstream(announcement, settings, healthPolicy, clock);
         });
         upstream.updateAnnouncement(control.nowMillis(), announcement).forEach(work -> startWork(upstream, work));
         if (announcement.leaving()) {
@@ -266,11 +269,16 @@
         inFlight++;
         upstream.recordStart(now, work.id());
         client.call(upstream.announcement(), attempt.getContent(), Math.max(1, work.deadlineMillis() - now))
-                .thenAccept(answer -> control.execute(() -> finishWork(upstream, work, now, answer)));
+                .thenAccept(answer -> {
+                    // Taken on the thread of the client, because the control thread may be late.
+                    long answeredMillis = control.nowMillis();
+                    control.execute(() -> finishWork(upstream, work, new Exchange(now, answeredMillis, answer)));
+                });
     }
 
-    private void finishWork(HomeUpstream upstream, WorkItem<PendingAttempt> work, long startedAtMillis, Answer answer) {
+    private void finishWork(HomeUpstream upstream, WorkItem<PendingAttempt> work, Exchange exchange) {
         long now = control.nowMillis();
+        Answer answer = exchange.answer();
         String upstreamId = upstream.announcement().id();
         RequestContent content = work.payload().attempt().getContent();
         inFlight--;
@@ -287,11 +295,14 @@
                 .build();
         attempts.finish(now, idOf(work.id()), finalAnswer);
         boolean wasHealthy = upstream.health().condition(now) == HealthCondition.HEALTHY;
+        long availableMillis = work.deadlineMillis() - exchange.startedMillis();
+        long upstreamMillis = upstream.upstreamMillis(now, exchange.answeredMillis(), work.id());
         List<WorkItem<PendingAttempt>> next = upstream.recordEnd(
                 now,
+                exchange.answeredMillis(),
                 work.id(),
                 outcome(answer),
-                isHealthEvidence(upstream, answer, work.deadlineMillis() - startedAtMillis));
+                isHealthEvidence(upstream, answer, availableMillis, upstreamMillis));
         if (wasHealthy && upstream.health().condition(now) == HealthCondition.UNHEALTHY) {
             LOG.warnf(
                     "ejected upstream '%s' as unhealthy, severity %d",
@@ -308,11 +319,15 @@
     }
 
     // A request that missed its deadline or was shed is no evidence if it had less time than requests normally take.
-    private static boolean isHealthEvidence(HomeUpstream upstream, Answer answer, long availableMillis) {
+    // The time that this node itself spent late isn't time that the upstream had until the deadline.
+    private static boolean isHealthEvidence(
+            HomeUpstream upstream, Answer answer, long availableMillis, long upstreamMillis) {
+        double sufficientMillis =
+                Math.min(SUFFICIENT_TIME_MILLIS, upstream.health().slowLimitMillis());
         return switch (Answers.reason(answer)) {
             case MALFORMED_REQUEST, ANSWER_TOO_LARGE -> false;
-            case DEADLINE_PASSED, BACKEND_SERVER_SHED -> availableMillis
-                    >= Math.min(SUFFICIENT_TIME_MILLIS, upstream.health().slowLimitMillis());
+            case DEADLINE_PASSED -> Math.min(availableMillis, upstreamMillis) >= sufficientMillis;
+            case BACKEND_SERVER_SHED -> availableMillis >= sufficientMillis;
             default -> true;
         };
     }
@@ -387,4 +402,7 @@
      */
     public record NodeContext(
             ControlThread control, NodeSettings settings, NodeMetrics metrics, CrashRegistry crashes) {}
+
+    /** An answer, with the times at which its request was started and it arrived. */
+    private record Exchange(long startedMillis, long answeredMillis, Answer answer) {}
 }
--- a/node/src/main/java/org/sardineshunt/node/backendserver/HomeUpstream.java
+++ b/node/src/main/java/org/sardineshunt/node/backendserver/HomeUpstream.java
@@ -6,6 +6,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 
+import org.sardineshunt.coordination.health.ActiveClock;
 import org.sardineshunt.coordination.health.HealthPolicy;
 import org.sardineshunt.coordination.health.UpstreamHealth;
 import org.sardineshunt.coordination.health.UpstreamHealth.Outcome;
@@ -22,6 +23,7 @@
     private final AdmissionQueue<PendingAttempt> admissionQueue;
     private final UpstreamHealth health;
     private final Map<String, RunningAttempt> runningAttempts = new HashMap<>();
+    private final ActiveClock clock;
     private final long coldStartRampMillis;
     private Announcement announcement;
     private ColdStartRamp coldStartRamp;
@@ -30,7 +32,12 @@
     private boolean holdsSuspect;
     private boolean paused;
 
-    HomeUpstream(Announcement announcement, NodeSettings settings, HealthPolicy healthPolicy) {
+    /**
+     * Creates an upstream without attempts.
+     *
+     * @param clock clock of the thread that calls this object, whose own delay is no evidence against the upstream
+     */
+    HomeUpstream(Announcement announcement, NodeSettings settings, HealthPolicy healthPolicy, ActiveClock clock) {
         this.admissionQueue = AdmissionQueue.<PendingAttempt>builder()
                 .ranks(settings.orderedRanks())
                 .slots(1)
@@ -38,6 +45,7 @@
                 .refuseWithoutSlack(settings.limits().refuseWithoutSlack())
                 .build();
         this.health = new UpstreamHealth(healthPolicy);
+        this.clock = clock;
         this.coldStartRampMillis = settings.timing().coldStartRamp().millis();
         this.announcement = announcement;
         this.coldStartRamp = new ColdStartRamp(0, coldStartRampMillis);
@@ -107,34 +115,51 @@
     }
 
     void recordStart(long nowMillis, String attemptId) {
-        runningAttempts.put(attemptId, new RunningAttempt(nowMillis, false));
+        runningAttempts.put(attemptId, new RunningAttempt(nowMillis, clock.activeMillis(nowMillis), false));
+    }
+
+    /**
+     * Returns for how many milliseconds an attempt ran at the upstream, as far as this node can tell: until its answer
+     * arrived, and without the time for which the control thread was late. 0 if the attempt isn't running.
+     */
+    long upstreamMillis(long nowMillis, long answeredMillis, String attemptId) {
+        RunningAttempt attempt = runningAttempts.get(attemptId);
+        return attempt == null
+                ? 0
+                : Math.min(
+                        answeredMillis - attempt.startedMillis(),
+                        clock.activeMillis(nowMillis) - attempt.startedActiveMillis());
     }
 
     /**
      * Records the end of an attempt and returns waiting work that got a slot, for the caller to start. A success that
      * was already recorded as overdue is not recorded again.
      *
+     * @param answeredMillis when the answer arrived at this node
      * @param healthEvidence whether the outcome counts towards the health of the upstream
      */
     List<WorkItem<PendingAttempt>> recordEnd(
-            long nowMillis, String attemptId, Outcome outcome, boolean healthEvidence) {
+            long nowMillis, long answeredMillis, String attemptId, Outcome outcome, boolean healthEvidence) {
+        long latencyMillis = upstreamMillis(nowMillis, answeredMillis, attemptId);
         RunningAttempt ended = runningAttempts.remove(attemptId);
-        long durationMillis = ended == null ? 0 : nowMillis - ended.startedAtMillis();
         boolean countedAsOverdue = ended != null && ended.overdue();
         if (healthEvidence && !(countedAsOverdue && outcome == Outcome.SUCCESS)) {
-            health.record(nowMillis, outcome, durationMillis);
+            health.record(nowMillis, outcome, latencyMillis);
         }
-        return admissionQueue.finish(nowMillis, outcome == Outcome.SUCCESS ? durationMillis : -1);
+        long slotMillis = ended == null ? 0 : nowMillis - ended.startedMillis();
+        return admissionQueue.finish(nowMillis, outcome == Outcome.SUCCESS ? slotMillis : -1);
     }
 
     /** Records each attempt that has run for longer than the slow limit as overdue, once and before its end. */
     void recordOverdueAttempts(long nowMillis) {
+        long activeMillis = clock.activeMillis(nowMillis);
         runningAttempts.replaceAll((attemptId, attempt) -> {
-            boolean overdue = !attempt.overdue() && nowMillis - attempt.startedAtMillis() > health.slowLimitMillis();
+            boolean overdue =
+                    !attempt.overdue() && activeMillis - attempt.startedActiveMillis() > health.slowLimitMillis();
             if (overdue) {
                 health.recordOverdue(nowMillis);
             }
-            return overdue ? new RunningAttempt(attempt.startedAtMillis(), true) : attempt;
+            return overdue ? attempt.asOverdue() : attempt;
         });
     }
 
@@ -157,5 +182,9 @@
      */
     record PendingAttempt(Attempt attempt, CompletableFuture<Answer> answer) {}
 
-    private record RunningAttempt(long startedAtMillis, boolean overdue) {}
+    private record RunningAttempt(long startedMillis, long startedActiveMillis, boolean overdue) {
+        private RunningAttempt asOverdue() {
+            return new RunningAttempt(startedMillis, startedActiveMillis, true);
+        }
+    }
 }
