Limit the requests of client accounts over all nodes

The rates of the configuration were not applied: an account could send any number of requests.

Each account has an owner, the first node in rendezvous order that the asking node reaches. It keeps the token bucket and grants tokens that expire 400 ms after an entry asked. An entry asks in advance only for what it is nearly sure to use, at most once at a time, and not while the owner has none, so a flood causes no message for each request. An owner grants at the share of the nodes that it reaches. A single lost link makes no second owner: a node that is asked passes the request on to an earlier one that it reaches, and a node that would take over asks through a relay first. A node that takes over counts only nodes that answered it. Owners that grant call a node of a data centre that was silent for 1.5 s, since links without calls don't notice a partition.

--- a/engine/src/main/java/org/sardineshunt/engine/ControlEventLoop.java
+++ b/engine/src/main/java/org/sardineshunt/engine/ControlEventLoop.java
@@ -6,6 +6,7 @@
 
 import io.netty.channel.EventLoop;
 import org.sardineshunt.coordination.TimerService;
+import org.sardineshunt.coordination.account.ClockReading;
 
 /**
  * The event loop whose one thread, the control thread, owns all state of an engine, with its clock and timers. Logs the
@@ -31,6 +32,11 @@
         return System.nanoTime() / 1_000_000;
     }
 
+    /** Returns the current time of the monotonic and of the wall clock. */
+    public ClockReading clock() {
+        return new ClockReading(nowMillis(), System.currentTimeMillis());
+    }
+
     @Override
     public Timer every(long periodMillis, Runnable action) {
         ScheduledFuture<?> future =
--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -4,7 +4,6 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -13,9 +12,8 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
-import io.vavr.control.Either;
 import org.sardineshunt.coordination.RendezvousHashing;
-import org.sardineshunt.coordination.account.ClockReading;
+import org.sardineshunt.coordination.account.AccountAdmission;
 import org.sardineshunt.coordination.announcement.Announcement;
 import org.sardineshunt.coordination.announcement.DepartureRegistry;
 import org.sardineshunt.coordination.idempotency.CrashingRequestDetector;
@@ -26,6 +24,7 @@
 import org.sardineshunt.coordination.route.FleetConfiguration;
 import org.sardineshunt.coordination.route.FleetConfiguration.CallerLimits;
 import org.sardineshunt.engine.backendserver.HomeService;
+import org.sardineshunt.engine.caller.AccountTokens;
 import org.sardineshunt.engine.caller.CallerRules;
 import org.sardineshunt.engine.caller.EntryService;
 import org.sardineshunt.engine.caller.HomeRegistry;
@@ -106,7 +105,7 @@
     private final CrashingRequestDetector crashDetector =
             new CrashingRequestDetector(CRASH_LIMIT, CRASH_RETENTION_MILLIS);
     private final ConfigurationTracker configuration;
-    private volatile ConfigurationSource configurationSource = ConfigurationSource.NONE;
+    private final ControlThreadConfigurationSource configurationSource;
     private volatile boolean started;
     private volatile boolean ready;
     private volatile boolean stopping;
@@ -116,6 +115,7 @@
     private HomeService home;
     private EntryService entry;
     private FleetHomeClient homeClient;
+    private AccountTokens accountTokens;
     private LoadReporter loadReporter;
     private AnnouncementAcknowledger acknowledger;
     private UpstreamRestorer restorer;
@@ -143,11 +143,12 @@
                 HttpClient.DEFAULT_MAXIMUM_RESPONSE_BYTES,
                 memory);
         network = new PeerNetwork(control, log, trafficGroup, settings.nodeId(), incarnation, memory);
+        configurationSource = new ControlThreadConfigurationSource(control);
         configuration = new ConfigurationTracker(
                 control,
-                this::clock,
+                control::clock,
                 log,
-                new ControlThreadSource(),
+                configurationSource,
                 (nodeId, version, onReceived) -> homeClient.fetchConfiguration(nodeId, version, onReceived),
                 this::handleAdopted);
         callerServer = new HttpServer(
@@ -185,7 +186,7 @@
      * @return the port for callers
      */
     public int start(TableStore store, ConfigurationSource source) {
-        configurationSource = source;
+        configurationSource.setSource(source);
         directory = new NodeDirectory(control, log, store, settings.nodeId(), random, this::onDirectoryChanged);
         homeRegistry = new HomeRegistry(control, directory, settings.dataCentre(), network::isReachable);
         EngineContext context = new EngineContext(control, log, metrics, settings, incarnation, crashDetector, random);
@@ -196,14 +197,31 @@
         homeClient = new FleetHomeClient(control, settings.nodeId(), directory, network, home);
         acknowledger = new AnnouncementAcknowledger(control, log, settings.nodeId(), directory, homeClient);
         loadReporter = new LoadReporter(control, settings.nodeId(), directory, homeRegistry, homeClient, home);
-        entry = new EntryService(context, homeClient, homeRegistry, placement, configuration);
+        accountTokens = new AccountTokens(
+                control,
+                settings.nodeId(),
+                homeClient,
+                configuration,
+                settings.accountBounds().toLimitBounds(),
+                random);
+        AccountAdmission accountAdmission = new AccountAdmission(control, control::clock, accountTokens);
+        entry = new EntryService(context, homeClient, homeRegistry, placement, configuration, accountAdmission);
         int peerPort = network.listen(
                 settings.peerAddress(),
                 new PeerFrameHandler(
-                        context, configuration, directory, homeRegistry, home, homeClient, loadReporter, departures));
+                        context,
+                        configuration,
+                        accountTokens,
+                        directory,
+                        homeRegistry,
+                        home,
+                        homeClient,
+                        loadReporter,
+                        departures));
         ownAddress = new PeerAddress(settings.nodeId(), settings.peerAddress().getHostString(), peerPort);
         int callerPort = callerServer.listen(trafficGroup, settings.callerAddress());
         control.execute(directory::start);
+        control.execute(accountTokens::start);
         started = true;
         log.event("started")
                 .with("incarnation", incarnation)
@@ -401,6 +419,7 @@
             network.probeIfLost(address);
             sendOwnRecord(directory.node(address.nodeId()).stream());
         });
+        accountTokens.handleDirectoryChange();
         network.forgetLostNodesExcept(directory.nodes().map(KnownNode::address).collect(Collectors.toSet()));
         directory.storedUpstreams().forEach(departures::recordStored);
         if (restorer == null) {
@@ -431,10 +450,6 @@
         publishOwnNode();
     }
 
-    private ClockReading clock() {
-        return new ClockReading(control.nowMillis(), System.currentTimeMillis());
-    }
-
     private void handleAdopted(FleetConfiguration adopted) {
         becomeReadyIfLoaded();
         if (started && adopted.accounts().isPresent()) {
@@ -473,17 +488,4 @@
                     directory.nodes(), Frame.newBuilder().setCrash(report).build());
         }
     }
-
-    /** The configuration source, which calls back on the control thread. */
-    private final class ControlThreadSource implements ConfigurationSource {
-        @Override
-        public void read(Consumer<Either<String, byte[]>> onResult) {
-            configurationSource.read(result -> control.execute(() -> onResult.accept(result)));
-        }
-
-        @Override
-        public Either<String, FleetConfiguration> decode(byte[] encoded) {
-            return configurationSource.decode(encoded);
-        }
-    }
 }
--- a/engine/src/main/java/org/sardineshunt/engine/EngineSettings.java
+++ b/engine/src/main/java/org/sardineshunt/engine/EngineSettings.java
@@ -2,6 +2,8 @@
 
 import java.net.InetSocketAddress;
 
+import org.sardineshunt.coordination.account.LimitBounds;
+
 /**
  * Settings of an engine, fixed from its start. Immutable and thread-safe.
  *
@@ -61,5 +63,10 @@
     public record AccountBounds(long windowMillis, double overage, double slack) {
         /** Bounds that are assumed where the settings state none. */
         public static final AccountBounds DEFAULT = new AccountBounds(5_000, 0, 0);
+
+        /** Returns these bounds for the limiting of accounts. */
+        LimitBounds toLimitBounds() {
+            return new LimitBounds(windowMillis, overage, slack);
+        }
     }
 }
--- a/engine/src/main/java/org/sardineshunt/engine/FleetHomeClient.java
+++ b/engine/src/main/java/org/sardineshunt/engine/FleetHomeClient.java
@@ -1,5 +1,6 @@
 package org.sardineshunt.engine;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,6 +14,7 @@
 import org.sardineshunt.coordination.account.RunningRequests.RunningRequest;
 import org.sardineshunt.engine.backendserver.HomeService;
 import org.sardineshunt.engine.caller.EntryService;
+import org.sardineshunt.engine.caller.NodeCalls;
 import org.sardineshunt.engine.peer.KnownNode;
 import org.sardineshunt.engine.peer.NodeDirectory;
 import org.sardineshunt.engine.peer.PeerAddress;
@@ -25,7 +27,7 @@
 import org.sardineshunt.engine.protocol.EngineMessages.Inquiry;
 
 /** Calls the homes of all nodes: the local one directly, others over peer links. Confined to the control thread. */
-final class FleetHomeClient implements EntryService.HomeClient {
+final class FleetHomeClient implements EntryService.HomeClient, NodeCalls {
     private static final long CONFIGURATION_QUERY_TIMEOUT_MILLIS = 2_000;
 
     private final ControlEventLoop control;
@@ -92,6 +94,28 @@
                         .build())));
     }
 
+    @Override
+    public Stream<KnownNode> nodes() {
+        return directory.nodes().filter(node -> !node.stopping());
+    }
+
+    @Override
+    public boolean isReachable(String nodeId) {
+        return address(nodeId).filter(network::isReachable).isPresent();
+    }
+
+    @Override
+    public void call(String nodeId, Frame message, long timeoutMillis, Consumer<Optional<Answer>> onResult) {
+        Optional<KnownNode> node = directory.node(nodeId);
+        List<Answer> answers = new ArrayList<>();
+        callReachable(
+                node.stream(),
+                message,
+                timeoutMillis,
+                answers::add,
+                () -> onResult.accept(answers.stream().findFirst()));
+    }
+
     /** Sends a frame that has no reply to those of the nodes that are reachable, except this one. */
     void sendOneWay(Stream<KnownNode> nodes, Frame frame) {
         network.sendToReachable(
--- a/engine/src/main/java/org/sardineshunt/engine/PeerFrameHandler.java
+++ b/engine/src/main/java/org/sardineshunt/engine/PeerFrameHandler.java
@@ -6,6 +6,7 @@
 import org.sardineshunt.coordination.Reason;
 import org.sardineshunt.coordination.announcement.DepartureRegistry;
 import org.sardineshunt.engine.backendserver.HomeService;
+import org.sardineshunt.engine.caller.AccountTokens;
 import org.sardineshunt.engine.caller.HomeRegistry;
 import org.sardineshunt.engine.peer.NodeDirectory;
 import org.sardineshunt.engine.peer.PeerNetwork;
@@ -18,11 +19,13 @@
 import org.sardineshunt.engine.protocol.EngineMessages.Departure;
 import org.sardineshunt.engine.protocol.EngineMessages.Frame;
 import org.sardineshunt.engine.protocol.EngineMessages.Inquiry;
+import org.sardineshunt.engine.protocol.EngineMessages.TokenRequest;
 
 /**
  * Handles what other nodes send. Confined to the control thread.
  *
  * @param configuration the configuration in force
+ * @param accountTokens grants tokens of client accounts
  * @param directory the nodes of the fleet
  * @param homeRegistry what is known of the homes
  * @param home the local home
@@ -33,6 +36,7 @@
 record PeerFrameHandler(
         EngineContext context,
         ConfigurationTracker configuration,
+        AccountTokens accountTokens,
         NodeDirectory directory,
         HomeRegistry homeRegistry,
         HomeService home,
@@ -88,6 +92,11 @@
         return answer.build();
     }
 
+    @Override
+    public void grantTokens(String nodeId, TokenRequest request, Consumer<Answer> onAnswer) {
+        accountTokens.handle(nodeId, request, onAnswer);
+    }
+
     @Override
     public void receiveOneWay(String nodeId, Frame frame) {
         if (frame.hasLoad()) {
--- a/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
@@ -9,6 +9,8 @@
 import io.vavr.control.Either;
 import org.sardineshunt.coordination.Reason;
 import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.coordination.account.AccountAdmission;
+import org.sardineshunt.coordination.account.ClientAccount;
 import org.sardineshunt.coordination.account.RunningRequests.RunningRequest;
 import org.sardineshunt.coordination.idempotency.AttemptId;
 import org.sardineshunt.coordination.limit.StopAdmission;
@@ -59,6 +61,7 @@
     private final AttemptFactory attempts;
     private final ConfigurationTracker configuration;
     private final CallerAuthorization authorization;
+    private final AccountAdmission accountAdmission;
     private final RequestAdmission admission;
     private final RetryDecision retryDecision;
     private final long incarnation;
@@ -72,13 +75,15 @@
      * @param homeRegistry what is known of the homes
      * @param placement chooses the home of each attempt
      * @param configuration the configuration in force
+     * @param accountAdmission limits the requests of client accounts
      */
     public EntryService(
             EngineContext context,
             HomeClient homeClient,
             HomeRegistry homeRegistry,
             PlacementPolicy placement,
-            ConfigurationTracker configuration) {
+            ConfigurationTracker configuration,
+            AccountAdmission accountAdmission) {
         control = context.control();
         log = context.log();
         metrics = context.metrics();
@@ -91,6 +96,7 @@
         this.homeRegistry = homeRegistry;
         this.placement = placement;
         this.configuration = configuration;
+        this.accountAdmission = accountAdmission;
         authorization = new CallerAuthorization(
                 settings.headers(), configuration, homeClient::runningRequest, homeClient::tryAcquireCall);
         admission = new RequestAdmission(settings.headers(), context.crashDetector(), random::nextDouble);
@@ -119,18 +125,27 @@
     }
 
     private void accept(HttpExchange exchange) {
-        authorization.authorize(exchange.request(), decision -> decision.flatMap(
-                        authorized -> admission.decide(control.nowMillis(), exchange, authorized))
-                .peek(this::start)
+        authorization.authorize(exchange.request(), decision -> decision.flatMap(authorized -> admission
+                        .decide(control.nowMillis(), exchange, authorized)
+                        .peek(request -> startWithinLimit(request, authorized.account())))
                 .peekLeft(refusal -> refuse(exchange, refusal)));
     }
 
+    private void startWithinLimit(AdmittedRequest request, Optional<ClientAccount> account) {
+        if (account.isEmpty()) {
+            start(request);
+            return;
+        }
+        accountAdmission.admit(account.get(), decision -> decision.refusal()
+                .ifPresentOrElse(reason -> refuse(request, reason, decision), () -> start(request)));
+    }
+
     private void start(AdmittedRequest request) {
         PendingRequest pending = new PendingRequest(request);
         pendingRequests.add(pending);
         retryDecision.recordRequest(request);
         pending.setDeadlineTimer(control.after(
-                Math.max(0, request.deadlineMillis() - request.startedMillis()), () -> handleDeadline(pending)));
+                Math.max(0, request.deadlineMillis() - control.nowMillis()), () -> handleDeadline(pending)));
         request.exchange().onDisconnect(() -> control.execute(() -> handleDisconnect(pending)));
         request.exchange().onEviction(() -> control.execute(() -> handleEviction(pending)));
         dispatch(pending);
@@ -381,6 +396,20 @@
         exchange.respond(responses.error(requestId, refusal.reason().httpStatus(), refusal.retryAfterMillis()));
     }
 
+    private void refuse(AdmittedRequest request, Reason reason, AccountAdmission.Decision decision) {
+        metrics.count("requests", reason.label());
+        log.event("refused")
+                .with("request", request.requestId())
+                .with("reason", reason.label())
+                .with("account", request.account().name())
+                .with("tokensLeft", decision.tokensLeft())
+                .with("grantAgeMillis", decision.grantAgeMillis())
+                .with("retryAfterMillis", decision.retryAfterMillis())
+                .write();
+        request.exchange()
+                .respond(responses.error(request.requestId(), reason.httpStatus(), decision.retryAfterMillis()));
+    }
+
     /** Calls homes, on this node or on others. Callbacks run on the control thread. */
     public interface HomeClient {
         /** Returns a request that the local upstream is running; empty if it isn't running that request. */
--- a/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
@@ -34,6 +34,7 @@
 import org.sardineshunt.engine.protocol.EngineMessages.Hello;
 import org.sardineshunt.engine.protocol.EngineMessages.Inquiry;
 import org.sardineshunt.engine.protocol.EngineMessages.Pong;
+import org.sardineshunt.engine.protocol.EngineMessages.TokenRequest;
 
 /** Links to and from other nodes, opened on first use. Confined to the control thread except for {@link #listen}. */
 public final class PeerNetwork {
@@ -315,6 +316,9 @@
         /** Returns the configuration in force if it is newer than the one that the sender knows, as an answer. */
         Answer findConfiguration(ConfigurationQuery query);
 
+        /** Answers a node's request for tokens of a client account. */
+        void grantTokens(String nodeId, TokenRequest request, Consumer<Answer> onAnswer);
+
         /** Handles a frame that has no reply. */
         void receiveOneWay(String nodeId, Frame frame);
     }
@@ -343,6 +347,8 @@
                 case INQUIRY -> handler.inquire(frame.getInquiry(), answer -> reply(channel, correlation, answer));
                 case DEPARTURE -> reply(channel, correlation, handler.recordDeparture(nodeId, frame.getDeparture()));
                 case DEPARTURE_QUERY -> reply(channel, correlation, findDeparture(frame.getDepartureQuery()));
+                case TOKEN_REQUEST -> handler.grantTokens(
+                        nodeId, frame.getTokenRequest(), answer -> reply(channel, correlation, answer));
                 case CONFIGURATION_QUERY -> reply(
                         channel, correlation, handler.findConfiguration(frame.getConfigurationQuery()));
                 case CANCEL -> cancel(correlation);
--- a/engine/src/test/java/org/sardineshunt/engine/EngineAccountTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineAccountTest.java
@@ -18,6 +18,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.not;
 import static org.sardineshunt.engine.caller.AccountConfigurations.KEYED_PATH;
 import static org.sardineshunt.engine.caller.AccountConfigurations.PUBLIC_PATH;
@@ -152,6 +153,49 @@
         assertThat(call, is(not(Optional.empty())));
     }
 
+    /** An account that used each node's own limit would get its burst at every node. */
+    @Test
+    void limitsAnAccountOverAllNodes() {
+        configureAll(AccountConfigurations.withAccount(2, 0.01, 4, KEY));
+        List<EngineFleet.SentRequest> sent = IntStream.range(0, 40)
+                .mapToObj(index -> send(index % 2, KEYED_PATH, KEY, "limited-" + index))
+                .toList();
+        List<Integer> statuses =
+                sent.stream().map(EngineAccountTest::statusOf).sorted().toList();
+        assertThat(
+                statuses,
+                is(IntStream.range(0, 40)
+                        .mapToObj(index -> index < 4 ? 200 : 429)
+                        .toList()));
+        HttpOutcome.Responded refused = sent.stream()
+                .map(request -> (HttpOutcome.Responded) request.outcome().join())
+                .filter(outcome -> outcome.response().status() == 429)
+                .findFirst()
+                .orElseThrow();
+        assertThat(refused.response().header("Retry-After"), is(Optional.of("100.00")));
+    }
+
+    /** The limit is kept without the node that counted, and its accounts are served on. */
+    @Test
+    void otherNodeLimitsAnAccountWhenItsOwnerCrashes() {
+        configureAll(AccountConfigurations.withAccount(2, 0.01, 4, KEY));
+        IntStream.range(0, 2).forEach(crashed -> {
+            int other = 1 - crashed;
+            fleet.restart(crashed);
+            configure(crashed, fleet.engine(other).configuration().orElseThrow());
+            Await.until("the node serves again", () -> statusOf(crashed, PUBLIC_PATH, "") == 200);
+            fleet.engine(crashed).kill();
+            Await.until("the limit is known again", () -> statusOf(other, KEYED_PATH, KEY) == 429);
+            fleet.restart(crashed);
+            configure(crashed, fleet.engine(other).configuration().orElseThrow());
+            Await.until("the node serves again", () -> statusOf(crashed, PUBLIC_PATH, "") == 200);
+        });
+        long served = receivedRequests().stream()
+                .filter(request -> request.target().startsWith(KEYED_PATH))
+                .count();
+        assertThat((double) served, lessThanOrEqualTo(4.05 * 1.1 + 20));
+    }
+
     private void configureAll(FleetConfiguration configuration) {
         fleet.configurations().store(configuration);
         IntStream.range(0, 2).forEach(index -> configure(index, configuration));
--- a/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
@@ -119,7 +119,7 @@
                 HEADERS,
                 new EngineSettings.Limits(0.5, 1, 2_000, 3_000, 0),
                 EngineSettings.Resources.DEFAULT,
-                EngineSettings.AccountBounds.DEFAULT);
+                new EngineSettings.AccountBounds(5_000, 0.1, 20));
         return new Engine(settings, new EventLog("node-" + index, logLines::add), new MetricRegistry());
     }
 
