--- a/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
@@ -34,6 +34,7 @@
 import org.sardineshunt.engine.protocol.EngineMessages.Hello;
 import org.sardineshunt.engine.protocol.EngineMessages.Inquiry;
 import org.sardineshunt.engine.protocol.EngineMessages.Pong;
+import org.sardineshunt.engine.protocol.EngineMessages.TokenRequest;
 
 /** Links to and from other nodes, opened on first use. Confined to the control thread except for {@link #listen}. */
 public final class PeerNetwork {
@@ -319,6 +320,9 @@
         /** Called when a lost node is reachable again; it has missed what was sent meanwhile. */
         void regained(String nodeId);
 
+        /** Answers a node's request for tokens of a client account. */
+        void grantTokens(String nodeId, TokenRequest request, Consumer<Answer> onAnswer);
+
         /** Handles a frame that has no reply. */
         void receiveOneWay(String nodeId, Frame frame);
     }
@@ -347,6 +351,8 @@
                 case INQUIRY -> handler.inquire(frame.getInquiry(), answer -> reply(channel, correlation, answer));
                 case DEPARTURE -> reply(channel, correlation, handler.recordDeparture(nodeId, frame.getDeparture()));
                 case DEPARTURE_QUERY -> reply(channel, correlation, findDeparture(frame.getDepartureQuery()));
+                case TOKEN_REQUEST -> handler.grantTokens(
+                        nodeId, frame.getTokenRequest(), answer -> reply(channel, correlation, answer));
                 case CONFIGURATION_QUERY -> reply(
                         channel, correlation, handler.findConfiguration(frame.getConfigurationQuery()));
                 case CANCEL -> cancel(correlation);
