Use refusing upstreams as a last resort, and stay in the data centre after refusals

When all upstreams of a service refused part of their requests for some seconds, a quarter of the demand was served: the homes ejected their upstreams one by one, and the few that weren't ejected yet got everything. A refused request has not run, so an upstream that only refuses doesn't count as failing any more; it stays behind healthy ones and is used when those are full, within the floor.

The table of nodes is read with short pauses while nodes start and while any node is of the build before, which sends no records.

PlacementPolicyTest (new case fails without the change of cost), RetryDecisionTest with the new limit, EngineTest, EngineOddInputTest, TableWatchTest and EngineDirectoryTest pass.

--- a/coordination/src/main/java/org/sardineshunt/coordination/placement/PlacementPolicy.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/placement/PlacementPolicy.java
@@ -99,7 +99,7 @@
                 return Optional.of(new Choice(onTrial.get(), false));
             }
         }
-        return lowestCost(usable(homes, untried, requirements), requirements, random)
+        return lowestCost(usable(homes, untried, requirements), requirements.afterAttempts(tried.size()), random)
                 .map(home -> new Choice(home, home.condition() != HealthCondition.HEALTHY));
     }
 
@@ -193,6 +193,8 @@
                 + (home.near() ? 0 : crossDataCentreCost(requirements));
     }
 
+    // Each attempt that another data centre refuses has crossed the link for nothing, so it costs more with each of
+    // them.
     private static double crossDataCentreCost(Requirements requirements) {
         double size = Math.max(1, requirements.transferBytes() / SMALL_TRANSFER_BYTES);
         return Math.min(MAXIMUM_CROSS_DATA_CENTRE_COST, CROSS_DATA_CENTRE_COST * size);
@@ -246,6 +248,11 @@
         public Requirements(boolean idempotent, double targetMillis) {
             this(idempotent, targetMillis, Double.POSITIVE_INFINITY, 0);
         }
+
+        private Requirements afterAttempts(int attempts) {
+            double sentBytes = Math.max(SMALL_TRANSFER_BYTES, transferBytes) * (1 + attempts);
+            return attempts == 0 ? this : new Requirements(idempotent, targetMillis, leftMillis, sentBytes);
+        }
     }
 
     /**
--- a/coordination/src/test/java/org/sardineshunt/coordination/placement/PlacementPolicyTest.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/placement/PlacementPolicyTest.java
@@ -47,6 +47,15 @@
         assertThat(chosen(large, near("a", 12), far("b", 0)), is("b"));
     }
 
+    /** In an overload over half of the attempts went to other data centres, which refused three in four of them. */
+    @Test
+    void prefersTheOwnDataCentreAfterRefusals() {
+        Requirements requirements = new Requirements(true, 1_500, 4_000, 5_000);
+        List<HomeView> homes = List.of(near("a", 20), far("b", 12));
+        assertThat(chosenAfter(Set.of(), requirements, homes), is("b"));
+        assertThat(chosenAfter(Set.of("x", "y"), requirements, homes), is("a"));
+    }
+
     /** In an overload every answer is late; work was refused although another data centre would have served it late. */
     @Test
     void prefersALateAnswerElsewhereToARefusalInTheOwnDataCentre() {
@@ -187,6 +196,13 @@
                 .nodeId();
     }
 
+    private String chosenAfter(Set<String> tried, Requirements requirements, List<HomeView> homes) {
+        return policy.choose(homes, tried, requirements, () -> 0)
+                .orElseThrow()
+                .home()
+                .nodeId();
+    }
+
     private static HomeView near(String nodeId, int outstandingRequests) {
         return home(nodeId, true, outstandingRequests, 400, HealthCondition.HEALTHY);
     }
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
@@ -365,7 +365,8 @@
             boolean misdirected = httpMapper.isMisdirected(attempt, outcome);
             reachability.recordOutcome(upstreamId, outcome, misdirected);
             if (!misdirected) {
-                monitor.recordOutcome(pending, outcome, success, durationMillis);
+                boolean refused = builder.getVerdict() == Verdict.NOT_RUN.ordinal();
+                monitor.recordOutcome(pending, outcome, new UpstreamMonitor.Result(success, refused, durationMillis));
             }
         }
         pendingAttempts.remove(id);
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamMonitor.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamMonitor.java
@@ -33,6 +33,10 @@
 
     // Weight of the newest sample in the exponentially weighted mean.
     private static final double FAILURE_SHARE_SMOOTHING_FACTOR = 0.05;
+    private static final double REFUSAL_SHARE_SMOOTHING_FACTOR = 0.5;
+
+    // Two refusals in a row reach it, two other failures in a row undo it.
+    private static final double REFUSING_SHARE = 0.7;
 
     // Latencies are judged in permille of the route's target: a usual one is a sixth of it, a slow one exceeds it.
     private static final double BASELINE_LATENCY_PERMILLE = 167;
@@ -54,6 +58,9 @@
     private UpstreamHealth health = newHealth();
     private double failureShare;
 
+    // Share of the recent failures that were refusals, which prove that the request was not run.
+    private double refusalShare;
+
     UpstreamMonitor(EngineContext context, BaselineProvider baselines, HomeService.Listener listener) {
         control = context.control();
         log = context.log();
@@ -69,6 +76,7 @@
         upstreamId = newUpstreamId;
         health = newHealth();
         failureShare = 0;
+        refusalShare = 0;
     }
 
     HealthCondition condition() {
@@ -88,8 +96,13 @@
         return serviceTimeByRoute.getOrDefault(route, serviceTime).meanMillis();
     }
 
+    /**
+     * Returns whether the upstream is unhealthy because it fails requests that it may have run. One that refuses them
+     * costs its callers little, since each can be sent elsewhere, so it stays the last resort while others are full:
+     * when all upstreams of a service refused half of their requests at once, the few that weren't ejected yet got all.
+     */
     boolean isFailing() {
-        return health.isFailing();
+        return health.isFailing() && refusalShare < REFUSING_SHARE;
     }
 
     int failurePermille() {
@@ -115,11 +128,12 @@
     /**
      * Records the outcome of an attempt that was sent to the current start of the upstream.
      *
-     * @param success whether the upstream ran the request and its response is no server error
-     * @param durationMillis time since the attempt was started
+     * @param result what the outcome means for the health of the upstream
      */
-    void recordOutcome(PendingAttempt pending, HttpOutcome outcome, boolean success, long durationMillis) {
+    void recordOutcome(PendingAttempt pending, HttpOutcome outcome, Result result) {
         long now = control.nowMillis();
+        boolean success = result.success();
+        long durationMillis = result.durationMillis();
         Attempt attempt = pending.attempt();
         if (outcome instanceof HttpOutcome.Failed failed && !countsAgainstUpstream(attempt, failed)) {
             return;
@@ -132,6 +146,9 @@
             return;
         }
         failureShare += ((success ? 0 : 1) - failureShare) * FAILURE_SHARE_SMOOTHING_FACTOR;
+        if (!success) {
+            refusalShare += ((result.refused() ? 1 : 0) - refusalShare) * REFUSAL_SHARE_SMOOTHING_FACTOR;
+        }
         if (success) {
             crashDetector.recordAnswer(String.valueOf(attempt.getFingerprint()));
         }
@@ -246,4 +263,13 @@
                 .fastFailureLatencyRatio(0.1)
                 .build());
     }
+
+    /**
+     * What an outcome means for the health of the upstream.
+     *
+     * @param success whether the upstream ran the request and its response is no server error
+     * @param refused whether the upstream refused the request without running it
+     * @param durationMillis time since the attempt was started
+     */
+    record Result(boolean success, boolean refused, long durationMillis) {}
 }
--- a/engine/src/main/java/org/sardineshunt/engine/caller/RetryDecision.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/RetryDecision.java
@@ -22,7 +22,9 @@
     // With less time left until the deadline, no attempt is sent.
     private static final long MINIMUM_LEFT_MILLIS = 20;
 
-    private static final int MAXIMUM_FAILED_ATTEMPTS = 8;
+    // Homes that refuse for lack of time mostly do so because all are full; of the requests that were tried more often,
+    // few were served.
+    private static final int MAXIMUM_FAILED_ATTEMPTS = 5;
     private static final double RETRY_BUDGET_CAPACITY = 3;
     private static final long NO_UPSTREAM_RETRY_AFTER_MILLIS = 700;
     private static final long MEMORY_RETRY_AFTER_MILLIS = 500;
--- a/engine/src/main/java/org/sardineshunt/engine/peer/NodeDirectory.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/NodeDirectory.java
@@ -35,8 +35,10 @@
     // history of the table, so that the next call still has the changes.
     private static final long CHANGE_PAUSE_MILLIS = 15_000;
 
-    // Nodes that start together read the table before the others have written to it.
-    private static final long FIRST_CHANGE_PAUSE_MILLIS = 1_000;
+    // Nodes that start together read the table before the others have written to it, and nodes of the build before send
+    // no records.
+    private static final long SHORT_CHANGE_PAUSE_MILLIS = 1_000;
+    private static final long START_MILLIS = 5_000;
 
     // Records of many nodes arrive together when a fleet starts.
     private static final long UPDATE_DELAY_MILLIS = 10;
@@ -59,6 +61,7 @@
     private boolean updateScheduled;
     private long ownRowVersion;
     private long ownSequence;
+    private long startedMillis;
     private final NodeRecordOrder order = new NodeRecordOrder();
 
     /**
@@ -74,18 +77,12 @@
         this.store = store;
         this.ownId = ownId;
         this.onChanged = onChanged;
-        watch = new TableWatch(
-                control,
-                log,
-                store,
-                TABLE,
-                new TableWatch.ChangePause(FIRST_CHANGE_PAUSE_MILLIS, CHANGE_PAUSE_MILLIS),
-                random,
-                this::applyChanges);
+        watch = new TableWatch(control, log, store, TABLE, this::changePauseMillis, random, this::applyChanges);
     }
 
     /** Starts to read the table and to follow its changes. */
     public void start() {
+        startedMillis = control.nowMillis();
         watch.start();
     }
 
@@ -313,6 +310,12 @@
                 .write();
     }
 
+    private long changePauseMillis() {
+        boolean starting = control.nowMillis() - startedMillis < START_MILLIS;
+        boolean allSendRecords = currentNodes.stream().allMatch(node -> node.protocolLevel() > 0);
+        return starting || !allSendRecords ? SHORT_CHANGE_PAUSE_MILLIS : CHANGE_PAUSE_MILLIS;
+    }
+
     private static KnownNode decode(NodeRecord node) {
         Optional<Announcement> upstream =
                 node.hasUpstream() ? Optional.of(UpstreamRecords.decode(node.getUpstream())) : Optional.empty();
--- a/engine/src/main/java/org/sardineshunt/engine/platform/TableWatch.java
+++ b/engine/src/main/java/org/sardineshunt/engine/platform/TableWatch.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 
 import io.vavr.control.Either;
@@ -28,7 +29,7 @@
     private final EventLog log;
     private final TableStore store;
     private final String table;
-    private final ChangePause changePause;
+    private final LongSupplier changePauseMillis;
     private final Random random;
     private final Consumer<List<Row>> onChanged;
     private final Map<String, Row> rows = new HashMap<>();
@@ -41,7 +42,7 @@
     /**
      * Creates a watch that does not read yet.
      *
-     * @param changePause pause after each change, so that one call returns several changes in quick succession
+     * @param changePauseMillis supplies the pause after each change, so that one call returns several changes in quick succession
      * @param onChanged receives new, changed and removed rows on the control thread; called after the first read even
      *     if there are none
      */
@@ -50,14 +51,14 @@
             EventLog log,
             TableStore store,
             String table,
-            ChangePause changePause,
+            LongSupplier changePauseMillis,
             Random random,
             Consumer<List<Row>> onChanged) {
         this.control = control;
         this.log = log;
         this.store = store;
         this.table = table;
-        this.changePause = changePause;
+        this.changePauseMillis = changePauseMillis;
         this.random = random;
         this.onChanged = onChanged;
     }
@@ -101,7 +102,7 @@
         loaded = true;
         updatedAtMillis = control.nowMillis();
         // Scheduled first, so that rows which the receiver can't handle don't end the watch.
-        control.after(changed.isEmpty() ? 0 : changePause.millis(first), this::awaitChanges);
+        control.after(changed.isEmpty() ? 0 : changePauseMillis.getAsLong(), this::awaitChanges);
         if (first || !changed.isEmpty()) {
             onChanged.accept(changed);
         }
@@ -161,16 +162,4 @@
                     .write();
         }
     }
-
-    /**
-     * Pause between a call that returned changes and the next one.
-     *
-     * @param firstMillis pause after the first read
-     * @param furtherMillis pause after each further change
-     */
-    public record ChangePause(long firstMillis, long furtherMillis) {
-        private long millis(boolean first) {
-            return first ? firstMillis : furtherMillis;
-        }
-    }
 }
--- a/engine/src/test/java/org/sardineshunt/engine/caller/RetryDecisionTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/caller/RetryDecisionTest.java
@@ -116,7 +116,7 @@
     void stopsAfterTooManyRefusals() {
         PendingRequest pending = pending(true, 3);
 
-        IntStream.range(0, 8).forEach(index -> objection(0, pending, REFUSED));
+        IntStream.range(0, 5).forEach(index -> objection(0, pending, REFUSED));
         assertThat(decision.hasTooManyFailures(pending), is(false));
 
         objection(0, pending, REFUSED);
--- a/engine/src/test/java/org/sardineshunt/engine/platform/TableWatchTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/platform/TableWatchTest.java
@@ -66,7 +66,7 @@
     }
 
     private TableWatch watch(TableStore store, Consumer<List<Row>> receiver) {
-        return new TableWatch(control, log, store, "table", new TableWatch.ChangePause(0, 0), new Random(1), receiver);
+        return new TableWatch(control, log, store, "table", () -> 0, new Random(1), receiver);
     }
 
     private static Row row(String key, long version) {
