Tick the clock that excludes the delay of a home

Change: each upstream has a clock of its own, which the periodic check of its running attempts ticks, so the check can't run without it. A test fails if answers that take 190 ms instead of 40 while ticks are on time don't eject the upstream.

--- a/node/src/main/java/org/sardineshunt/node/backendserver/HomeService.java
+++ b/node/src/main/java/org/sardineshunt/node/backendserver/HomeService.java
@@ -66,7 +66,6 @@
     private final HealthPolicy healthPolicy = HealthPolicy.builder()
             .maximumBaselineAgeMillis(MAXIMUM_BASELINE_AGE_MILLIS)
             .build();
-    private final ActiveClock clock;
     private final Map<String, HomeUpstream> upstreams = new TreeMap<>();
     private final AttemptRegistry<Answer> attempts = new AttemptRegistry<>(ANSWER_RETENTION_MILLIS);
     private boolean stopping;
@@ -87,7 +86,6 @@
         this.membership = membership;
         this.rotations = rotations;
         this.client = client;
-        this.clock = new ActiveClock(TICK_PERIOD_MILLIS, control.nowMillis());
         this.baselineExchange = new BaselineExchange(control, peers);
         this.publisher =
                 new UpstreamPublisher(control, membership, configuration, baselineExchange, upstreams.values());
@@ -105,7 +103,8 @@
     public long announce(Announcement announcement) {
         HomeUpstream upstream = upstreams.computeIfAbsent(announcement.id(), id -> {
             LOG.infof("upstream '%s' of service '%s' announced itself", id, announcement.service());
-            return new HomeUpstream(announcement, settings, healthPolicy, clock);
+            return new HomeUpstream(
+                    announcement, settings, healthPolicy, new ActiveClock(TICK_PERIOD_MILLIS, control.nowMillis()));
         });
         upstream.updateAnnouncement(control.nowMillis(), announcement).forEach(work -> startWork(upstream, work));
         if (announcement.leaving()) {
--- a/node/src/main/java/org/sardineshunt/node/backendserver/HomeUpstream.java
+++ b/node/src/main/java/org/sardineshunt/node/backendserver/HomeUpstream.java
@@ -35,7 +35,8 @@
     /**
      * Creates an upstream without attempts.
      *
-     * @param clock clock of the thread that calls this object, whose own delay is no evidence against the upstream
+     * @param clock clock for the control thread, whose delay is no evidence against the upstream; its tick is {@link
+     *     #recordOverdueAttempts}
      */
     HomeUpstream(Announcement announcement, NodeSettings settings, HealthPolicy healthPolicy, ActiveClock clock) {
         this.admissionQueue = AdmissionQueue.<PendingAttempt>builder()
@@ -150,8 +151,12 @@
         return admissionQueue.finish(nowMillis, outcome == Outcome.SUCCESS ? slotMillis : -1);
     }
 
-    /** Records each attempt that has run for longer than the slow limit as overdue, once and before its end. */
+    /**
+     * Records each attempt that has run for longer than the slow limit as overdue, once and before its end. Called in
+     * each tick period of the clock.
+     */
     void recordOverdueAttempts(long nowMillis) {
+        clock.tick(nowMillis);
         long activeMillis = clock.activeMillis(nowMillis);
         runningAttempts.replaceAll((attemptId, attempt) -> {
             boolean overdue =
--- a/node/src/test/java/org/sardineshunt/node/backendserver/HomeUpstreamTest.java
+++ b/node/src/test/java/org/sardineshunt/node/backendserver/HomeUpstreamTest.java
@@ -23,12 +23,11 @@
     private static final long TICK_PERIOD_MILLIS = 50;
     private static final int REQUESTS = 12;
 
-    private final ActiveClock clock = new ActiveClock(TICK_PERIOD_MILLIS, 0);
     private final HomeUpstream upstream = new HomeUpstream(
             new Announcement("upstream", "service", "127.0.0.1", 1, 4, "ready", Map.of()),
             settings(),
             HealthPolicy.builder().build(),
-            clock);
+            new ActiveClock(TICK_PERIOD_MILLIS, 0));
 
     @BeforeEach
     void updateBaselines() {
@@ -39,7 +38,7 @@
     @Test
     void answersThatWaitForTheControlThreadAreNotSlow() {
         start(0);
-        clock.tick(TICK_PERIOD_MILLIS);
+        upstream.recordOverdueAttempts(TICK_PERIOD_MILLIS);
         adoptBaselines();
         IntStream.range(0, REQUESTS)
                 .forEach(request -> upstream.recordEnd(580, 40, id(request), Outcome.SUCCESS, true));
@@ -51,8 +50,7 @@
     @Test
     void aLateTickMakesNoRequestOverdue() {
         start(0);
-        clock.tick(TICK_PERIOD_MILLIS);
-        clock.tick(640);
+        upstream.recordOverdueAttempts(TICK_PERIOD_MILLIS);
         upstream.recordOverdueAttempts(640);
 
         assertThat(upstream.health().severity(), is(0));
@@ -62,17 +60,28 @@
     @Test
     void latencyExcludesTheTimeForWhichTheNodeWasLate() {
         start(0);
-        clock.tick(TICK_PERIOD_MILLIS);
-        clock.tick(640);
+        upstream.recordOverdueAttempts(TICK_PERIOD_MILLIS);
+        upstream.recordOverdueAttempts(640);
 
         assertThat(upstream.upstreamMillis(660, 650, id(0)), is(170L));
     }
 
+    /** Guards against a clock that nobody ticks: all latencies were 0 then, and no slow upstream was ejected. */
+    @Test
+    void answersThatArriveLateWhileTicksAreOnTimeEjectTheUpstream() {
+        start(0);
+        IntStream.rangeClosed(1, 3).forEach(tick -> upstream.recordOverdueAttempts(tick * TICK_PERIOD_MILLIS));
+        IntStream.range(0, 6).forEach(request -> upstream.recordEnd(200, 190, id(request), Outcome.SUCCESS, true));
+        adoptBaselines();
+        upstream.recordEnd(210, 200, id(6), Outcome.SUCCESS, true);
+
+        assertThat(upstream.health().condition(210), is(HealthCondition.UNHEALTHY));
+    }
+
     @Test
     void requestsThatHangWhileTicksAreOnTimeEjectTheUpstream() {
         start(0);
         IntStream.rangeClosed(1, 10).forEach(tick -> {
-            clock.tick(tick * TICK_PERIOD_MILLIS);
             upstream.recordOverdueAttempts(tick * TICK_PERIOD_MILLIS);
         });
         adoptBaselines();
