--- a/engine/src/test/java/org/sardineshunt/engine/EngineTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineTest.java
@@ -6,7 +6,6 @@
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.sardineshunt.coordination.announcement.Announcement.Phase;
 import org.sardineshunt.engine.http.HttpExchange;
@@ -186,7 +185,6 @@
 
     /** An upstream in gray failure fails requests at once, so its queue must go elsewhere instead of failing there. */
     @Test
-    @Tag("known-red")
     void refusesTheQueueOfAnUpstreamThatFailsFast() {
         setHandlers(index -> exchange -> {});
         List<EngineFleet.SentRequest> sent = IntStream.range(0, 36)
@@ -267,7 +265,6 @@
      * lost 600 ms until the connection timed out.
      */
     @Test
-    @Tag("known-red")
     void sendsNoRequestToALostHome() {
         fleet.engine(1).kill();
         awaitLostPeer("node-0", "node-1");
