--- a/coordination/src/main/java/org/sardineshunt/coordination/Reason.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/Reason.java
@@ -84,6 +84,8 @@
     ANSWER_CROSSED("answer-crossed", 502),
     /** The answer exceeds the size limit. */
     ANSWER_TOO_LARGE("answer-too-large", 502),
+    /** The caller stopped sending the body of the request. */
+    BODY_INCOMPLETE("body-incomplete", 408),
     /** The memory for buffered bodies and responses is short. */
     MEMORY_SHORT("memory-short", 503),
     /** The backend server answered with a status of 500 or above. */
--- a/coordination/src/main/java/org/sardineshunt/coordination/memory/MemoryBudget.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/memory/MemoryBudget.java
@@ -120,6 +120,14 @@
          * @param idleMillis time since its last progress
          */
         void evicted(Kind kind, long bytes, long idleMillis);
+
+        /**
+         * Called when memory is refused.
+         *
+         * @param bytes bytes that the holder asked for
+         * @param reservedBytes bytes that all holders have reserved
+         */
+        default void refused(Kind kind, long bytes, long reservedBytes) {}
     }
 
     /** A user of the budget. Thread-safe. */
@@ -148,6 +156,9 @@
             List<Holder> victims = new ArrayList<>();
             boolean reserved = reserve(nowMillis, addedBytes, victims);
             victims.forEach(victim -> victim.evict.run());
+            if (!reserved) {
+                listener.refused(kind, addedBytes, MemoryBudget.this.reservedBytes());
+            }
             return reserved;
         }
 
@@ -172,7 +183,6 @@
                 if (!closed && !small && bytes < SMALL_REQUEST_BYTES && smallBytes + bytes <= smallCapacityBytes) {
                     long moved = bytes;
                     add(-moved);
-                    commonHolders.remove(this);
                     small = true;
                     add(moved);
                 }
@@ -191,7 +201,6 @@
         public void close() {
             synchronized (MemoryBudget.this) {
                 add(-bytes);
-                commonHolders.remove(this);
                 closed = true;
             }
         }
@@ -249,6 +258,9 @@
             } else {
                 commonBytes += change;
             }
+            if (bytes == 0) {
+                commonHolders.remove(this);
+            }
             bytesByKind.merge(kind, change, Long::sum);
         }
     }
--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -82,7 +83,6 @@
     private static final int RESERVED_DESCRIPTORS = 200;
     private static final double CALLER_SHARE_OF_DESCRIPTORS = 0.7;
     private static final int MINIMUM_CALLER_CONNECTIONS = 16;
-    private static final long REPEATED_EVENT_MILLIS = 1_000;
 
     // Callers may take this long to notice that the node isn't ready, and send new requests until then.
     private static final long STOP_MAXIMUM_DETECTION_MILLIS = 2_300;
@@ -107,7 +107,6 @@
     private volatile boolean started;
     private volatile boolean ready;
     private volatile boolean stopping;
-    private long connectionLimitLoggedMillis = -REPEATED_EVENT_MILLIS;
     private NodeDirectory directory;
     private HomeRegistry homeRegistry;
     private HomeService home;
@@ -134,7 +133,8 @@
         trafficGroup =
                 new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("traffic"), NioIoHandler.newFactory());
         control = new ControlEventLoop((EventLoop) controlGroup.next(), log);
-        memory = new MemoryBudget(bufferBytes(settings.resources()), this::logEviction);
+        MemoryEvents memoryEvents = new MemoryEvents(log, metrics);
+        memory = new MemoryBudget(bufferBytes(settings.resources()), memoryEvents);
         upstreamClient = new HttpClient(
                 (EventLoop) trafficGroup.next(),
                 settings.headers().requestId(),
@@ -152,8 +152,11 @@
         callerServer = new HttpServer(
                 this::callerLimits,
                 new CallerRules(settings.headers(), this::configuration),
-                new ServerResources(memory, maximumConnections(settings.resources()), this::logConnectionLimit),
+                new ServerResources(memory, maximumConnections(settings.resources()), memoryEvents::connectionClosed),
                 exchange -> entry.handle(exchange));
+        Stream.of(MemoryBudget.Kind.values())
+                .forEach(kind -> metrics.gauge("buffered_bytes", kind.label(), () -> memory.reservedBytes(kind)));
+        metrics.gauge("open_connections", "callers", callerServer::openConnections);
     }
 
     /** Returns the event loop whose thread owns the engine's state. */
@@ -358,31 +361,8 @@
         return Math.max(MINIMUM_CALLER_CONNECTIONS, shared);
     }
 
-    private void logEviction(MemoryBudget.Kind kind, long bytes, long idleMillis) {
-        metrics.count("evictions", kind.label());
-        log.event("holder-evicted")
-                .with("kind", kind.label())
-                .with("bytes", bytes)
-                .with("idleMillis", idleMillis)
-                .write();
-    }
-
-    // Callers' connections are accepted on the traffic loop's one thread.
-    private void logConnectionLimit() {
-        metrics.count("connections_refused", "limit");
-        long now = control.nowMillis();
-        if (now - connectionLimitLoggedMillis >= REPEATED_EVENT_MILLIS) {
-            connectionLimitLoggedMillis = now;
-            log.event("connection-refused")
-                    .with("open", callerServer.openConnections())
-                    .write();
-        }
-    }
-
     private CallerLimits callerLimits() {
-        CallerLimits limits =
-                configuration.current().map(FleetConfiguration::limits).orElse(CallerLimits.DEFAULT);
-        return limits.withBodyBytes(Math.min(limits.bodyBytes(), PeerNetwork.MAXIMUM_BODY_BYTES));
+        return configuration.current().map(FleetConfiguration::limits).orElse(CallerLimits.DEFAULT);
     }
 
     private void acknowledge(boolean changed, Runnable acknowledgement) {
--- a/engine/src/main/java/org/sardineshunt/engine/FleetHomeClient.java
+++ b/engine/src/main/java/org/sardineshunt/engine/FleetHomeClient.java
@@ -56,12 +56,23 @@
     }
 
     @Override
-    public Runnable attempt(String nodeId, Attempt attempt, Consumer<Either<PeerFailure, Answer>> onResult) {
+    public boolean supportsStreaming(String nodeId) {
+        return nodeId.equals(ownId)
+                || directory
+                        .node(nodeId)
+                        .filter(node -> node.protocolLevel() >= PeerNetwork.PROTOCOL_LEVEL)
+                        .isPresent();
+    }
+
+    @Override
+    public Runnable attempt(
+            String nodeId, Attempt attempt, AttemptStreams streams, Consumer<Either<PeerFailure, Answer>> onResult) {
         if (nodeId.equals(ownId)) {
-            return home.attempt(attempt, answer -> control.execute(() -> onResult.accept(Either.right(answer))));
+            return home.attempt(
+                    attempt, streams, answer -> control.execute(() -> onResult.accept(Either.right(answer))));
         }
         return address(nodeId)
-                .map(address -> network.attempt(address, attempt, onResult))
+                .map(address -> network.attempt(address, attempt, streams, onResult))
                 .orElseGet(() -> {
                     control.execute(() -> onResult.accept(unknownNode(nodeId)));
                     return () -> {};
--- a/engine/src/main/java/org/sardineshunt/engine/MetricRegistry.java
+++ b/engine/src/main/java/org/sardineshunt/engine/MetricRegistry.java
@@ -4,14 +4,16 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.LongSupplier;
 
-/** Counters and latency histograms of an engine, each identified by a name and the value of its label. Thread-safe. */
+/** Counters, gauges and latency histograms of an engine, each identified by a name and the value of its label. Thread-safe. */
 public final class MetricRegistry {
     private static final long[] BUCKET_BOUNDS_MILLIS = {
         5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000, 30_000
     };
 
     private final Map<Key, LongAdder> counts = new ConcurrentHashMap<>();
+    private final Map<Key, LongSupplier> gauges = new ConcurrentHashMap<>();
     private final Map<Key, LongAdder[]> histograms = new ConcurrentHashMap<>();
 
     /** Increments a counter, which starts at 0. */
@@ -19,6 +21,11 @@
         counts.computeIfAbsent(new Key(name, label), key -> new LongAdder()).increment();
     }
 
+    /** Adds a value that is read for each page; the supplier must be thread-safe. */
+    public void gauge(String name, String label, LongSupplier value) {
+        gauges.put(new Key(name, label), value);
+    }
+
     /** Adds a duration to a histogram. */
     public void observe(String name, String label, long durationMillis) {
         LongAdder[] buckets = histograms.computeIfAbsent(new Key(name, label), key -> newBuckets());
@@ -43,6 +50,13 @@
         return sorted;
     }
 
+    /** Returns the values of all gauges, sorted by name and label. */
+    Map<Key, Long> gauges() {
+        Map<Key, Long> sorted = new TreeMap<>();
+        gauges.forEach((key, value) -> sorted.put(key, value.getAsLong()));
+        return sorted;
+    }
+
     /**
      * Returns all histograms, sorted by name and label. Each array holds the number of durations in each bucket, then
      * the number above the last bound and the sum of all durations in milliseconds.
--- a/engine/src/main/java/org/sardineshunt/engine/MetricsPage.java
+++ b/engine/src/main/java/org/sardineshunt/engine/MetricsPage.java
@@ -12,6 +12,7 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.snapshots.ClassicHistogramBuckets;
 import io.prometheus.metrics.model.snapshots.CounterSnapshot;
+import io.prometheus.metrics.model.snapshots.GaugeSnapshot;
 import io.prometheus.metrics.model.snapshots.HistogramSnapshot;
 import io.prometheus.metrics.model.snapshots.Labels;
 import io.prometheus.metrics.model.snapshots.MetricSnapshot;
@@ -31,9 +32,11 @@
 
     /** Returns a response with the current values of all metrics. */
     public static HttpResponseData render(MetricRegistry metrics) {
-        Stream<MetricSnapshot> snapshots = Stream.concat(
-                groupByName(metrics.counts()).entrySet().stream().map(MetricsPage::toCounter),
-                groupByName(metrics.histograms()).entrySet().stream().map(MetricsPage::toHistogram));
+        Stream<MetricSnapshot> snapshots = Stream.of(
+                        groupByName(metrics.counts()).entrySet().stream().map(MetricsPage::toCounter),
+                        groupByName(metrics.gauges()).entrySet().stream().map(MetricsPage::toGauge),
+                        groupByName(metrics.histograms()).entrySet().stream().map(MetricsPage::toHistogram))
+                .flatMap(group -> group);
         ByteArrayOutputStream output = new ByteArrayOutputStream();
         try {
             PrometheusTextFormatWriter.create()
@@ -70,6 +73,16 @@
         return builder.build();
     }
 
+    private static MetricSnapshot toGauge(Map.Entry<String, Map<String, Long>> metric) {
+        GaugeSnapshot.Builder builder = GaugeSnapshot.builder().name(PREFIX + metric.getKey());
+        metric.getValue()
+                .forEach((label, value) -> builder.dataPoint(GaugeSnapshot.GaugeDataPointSnapshot.builder()
+                        .labels(Labels.of(LABEL, label))
+                        .value(value)
+                        .build()));
+        return builder.build();
+    }
+
     private static MetricSnapshot toHistogram(Map.Entry<String, Map<String, long[]>> metric) {
         HistogramSnapshot.Builder builder = HistogramSnapshot.builder().name(PREFIX + metric.getKey());
         metric.getValue()
--- a/engine/src/main/java/org/sardineshunt/engine/PeerFrameHandler.java
+++ b/engine/src/main/java/org/sardineshunt/engine/PeerFrameHandler.java
@@ -45,10 +45,10 @@
         DepartureRegistry departures)
         implements PeerNetwork.FrameHandler {
     @Override
-    public Runnable attempt(String nodeId, Attempt attempt, Consumer<Answer> onAnswer) {
+    public Runnable attempt(String nodeId, Attempt attempt, AttemptStreams streams, Consumer<Answer> onAnswer) {
         loadReporter.recordSender(nodeId);
         configuration.recordPeerVersion(nodeId, attempt.getConfigurationVersion());
-        return home.attempt(attempt, onAnswer);
+        return home.attempt(attempt, streams, onAnswer);
     }
 
     @Override
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
@@ -19,6 +19,7 @@
 import org.sardineshunt.coordination.limit.WorkItem;
 import org.sardineshunt.coordination.rotation.HealthCondition;
 import org.sardineshunt.coordination.route.FleetConfiguration;
+import org.sardineshunt.engine.AttemptStreams;
 import org.sardineshunt.engine.ControlEventLoop;
 import org.sardineshunt.engine.EngineContext;
 import org.sardineshunt.engine.EngineSettings;
@@ -37,7 +38,6 @@
 public final class HomeService {
     // Answers are kept for entries that inquire because they lost their link.
     private static final long ANSWER_RETENTION_MILLIS = 5_000;
-    private static final long MAXIMUM_IDLE_MILLIS = 4_000;
 
     private static final long EXPIRY_PERIOD_MILLIS = 1_000;
     private static final long LATE_RECHECK_MILLIS = 400;
@@ -45,14 +45,12 @@
     // A waiting attempt is refused once less than its expected service time, or less than this, is left.
     private static final double MINIMUM_SERVICE_MILLIS = 50;
 
-    // The upstream has less time than the HTTP call, so that its timeout response arrives before the call times out.
-    private static final long UPSTREAM_MARGIN_MILLIS = 15;
-
     private final ControlEventLoop control;
     private final EventLog log;
     private final EngineSettings settings;
     private final HttpClient client;
     private final UpstreamHttpMapper httpMapper;
+    private final UpstreamSender sender;
     private final UpstreamMonitor monitor;
     private final UpstreamReachability reachability;
     private final KeyCheck keyCheck;
@@ -94,6 +92,7 @@
         reachability =
                 new UpstreamReachability(control, log, this::handleRefusedConnection, listener::availabilityChanged);
         httpMapper = new UpstreamHttpMapper(settings.headers(), keyCheck::hasAccounts);
+        sender = new UpstreamSender(context, client, httpMapper);
     }
 
     /** Returns the newest announcement of the upstream, if any. */
@@ -147,11 +146,12 @@
     /**
      * Starts, queues or refuses an attempt.
      *
+     * @param streams streamed bodies of the attempt
      * @param onAnswer receives the answer on the control thread, an immediate refusal before this method returns; never
      *     called for an attempt that an inquiry abandons
      * @return an action that cancels the attempt unless it is running and not idempotent
      */
-    public Runnable attempt(Attempt attempt, Consumer<Answer> onAnswer) {
+    public Runnable attempt(Attempt attempt, AttemptStreams streams, Consumer<Answer> onAnswer) {
         long now = control.nowMillis();
         Optional<AttemptId> parsedId = AttemptId.parse(attempt.getAttemptId());
         if (parsedId.isEmpty()) {
@@ -164,7 +164,7 @@
             onAnswer.accept(repeatAnswer(attempt, arrival));
             return () -> {};
         }
-        PendingAttempt pending = new PendingAttempt(attempt, id, now, onAnswer);
+        PendingAttempt pending = new PendingAttempt(attempt, id, now, streams, onAnswer);
         pendingAttempts.add(pending);
         scheduleExpiry();
         Optional<Reason> refusalReason = findRefusalReason(now, attempt);
@@ -301,6 +301,11 @@
         if (pendingAttempts.exceedMemory()) {
             return Optional.of(Reason.MEMORY_SHORT);
         }
+        // A streamed body holds its slot while its caller may be slow, so half of the slots are for other work.
+        if (attempt.getBodyFollows()
+                && pendingAttempts.streamedBodies() > Math.max(1, current.get().slots() / 2)) {
+            return Optional.of(Reason.QUEUE_FULL);
+        }
         if (!attempt.getLastResort() && !admits(monitor.condition(), attempt)) {
             return Optional.of(Reason.OUT_OF_ROTATION);
         }
@@ -342,13 +347,7 @@
         runningRequests.start(attempt.getRequestId(), attempt.getRank(), attempt.getAccount());
         long leftMillis = pending.arrivedMillis() + attempt.getLeftMillis() - now;
         pending.markStarted(
-                now,
-                upstreamId,
-                client.send(
-                        settings.upstreamAddress(),
-                        httpMapper.toRequest(attempt, upstreamId, Math.max(1, leftMillis - UPSTREAM_MARGIN_MILLIS)),
-                        new HttpClient.Options(leftMillis, MAXIMUM_IDLE_MILLIS),
-                        outcome -> control.execute(() -> finish(pending, outcome))));
+                now, upstreamId, sender.send(pending, upstreamId, leftMillis, outcome -> finish(pending, outcome)));
         monitor.scheduleOverdueCheck(pending);
     }
 
@@ -356,8 +355,9 @@
         long now = control.nowMillis();
         Attempt attempt = pending.attempt();
         AttemptId id = pending.id();
-        long durationMillis = now - pending.startedMillis();
-        Answer.Builder builder = httpMapper.toAnswer(attempt, outcome);
+        boolean streamed = outcome instanceof HttpOutcome.Responded responded && responded.streamed();
+        long durationMillis = pending.upstreamMillis(now, streamed || attempt.getBodyFollows());
+        Answer.Builder builder = httpMapper.toAnswer(attempt, outcome).setStreamed(streamed);
         boolean success = builder.getVerdict() == Verdict.RAN.ordinal() && builder.getStatus() < 500;
         runningRequests.finish(attempt.getRequestId());
         // An outcome of an earlier start of the upstream says nothing about the current one.
@@ -380,7 +380,8 @@
         if (answer.getVerdict() == Verdict.NOT_RUN.ordinal()) {
             attemptRegistry.refuse(now, id);
         } else {
-            attemptRegistry.finish(now, id, answer);
+            // Entries inquire only about attempts that they must not repeat.
+            attemptRegistry.finish(now, id, attempt.getIdempotent() ? UpstreamHttpMapper.unknownOutcome() : answer);
         }
         attemptLog.finished(pending, outcome, answer, success, durationMillis);
         pending.complete(answer);
@@ -400,7 +401,7 @@
     private void cancel(PendingAttempt pending) {
         if (queue.remove(pending.queueId()).isPresent()) {
             refuse(pending, Reason.ABANDONED);
-        } else if (pending.attempt().getIdempotent()) {
+        } else if (pending.attempt().getIdempotent() || pending.isStreaming()) {
             pending.cancel();
         }
     }
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/PendingAttempt.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/PendingAttempt.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 
 import org.sardineshunt.coordination.idempotency.AttemptId;
+import org.sardineshunt.engine.AttemptStreams;
 import org.sardineshunt.engine.http.HttpClient;
 import org.sardineshunt.engine.protocol.EngineMessages.Answer;
 import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
@@ -14,6 +15,7 @@
     private final Attempt attempt;
     private final AttemptId id;
     private final long arrivedMillis;
+    private final AttemptStreams streams;
     private final List<Consumer<Answer>> listeners = new ArrayList<>();
     private HttpClient.Call call;
     private long startedMillis;
@@ -21,10 +23,12 @@
     private boolean overdue;
     private boolean completed;
 
-    PendingAttempt(Attempt attempt, AttemptId id, long arrivedMillis, Consumer<Answer> listener) {
+    PendingAttempt(
+            Attempt attempt, AttemptId id, long arrivedMillis, AttemptStreams streams, Consumer<Answer> listener) {
         this.attempt = attempt;
         this.id = id;
         this.arrivedMillis = arrivedMillis;
+        this.streams = streams;
         listeners.add(listener);
     }
 
@@ -32,6 +36,20 @@
         return attempt;
     }
 
+    AttemptStreams streams() {
+        return streams;
+    }
+
+    /** Returns whether a part of the request or of its response is in transit. */
+    boolean isStreaming() {
+        return call != null && call.isStreaming();
+    }
+
+    /** Returns how long the upstream took, without the time that a streamed body was in transit. */
+    long upstreamMillis(long nowMillis, boolean streamed) {
+        return streamed && call != null ? call.serverMillis() : nowMillis - startedMillis;
+    }
+
     AttemptId id() {
         return id;
     }
@@ -66,7 +84,7 @@
      * @return whether the attempt was marked by this call
      */
     boolean tryMarkOverdue(long nowMillis, long limitMillis) {
-        if (completed || overdue || nowMillis - startedMillis <= limitMillis) {
+        if (completed || overdue || isStreaming() || nowMillis - startedMillis <= limitMillis) {
             return false;
         }
         overdue = true;
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/PendingAttempts.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/PendingAttempts.java
@@ -13,10 +13,12 @@
 
     private final Map<AttemptId, PendingAttempt> attemptById = new HashMap<>();
     private long bodyBytes;
+    private int streamedBodies;
 
     void add(PendingAttempt pending) {
         attemptById.put(pending.id(), pending);
         bodyBytes += pending.attempt().getBody().size();
+        streamedBodies += pending.attempt().getBodyFollows() ? 1 : 0;
     }
 
     Optional<PendingAttempt> find(AttemptId id) {
@@ -25,7 +27,10 @@
 
     Optional<PendingAttempt> remove(AttemptId id) {
         Optional<PendingAttempt> removed = Optional.ofNullable(attemptById.remove(id));
-        removed.ifPresent(pending -> bodyBytes -= pending.attempt().getBody().size());
+        removed.ifPresent(pending -> {
+            bodyBytes -= pending.attempt().getBody().size();
+            streamedBodies -= pending.attempt().getBodyFollows() ? 1 : 0;
+        });
         return removed;
     }
 
@@ -33,6 +38,11 @@
         return attemptById.size();
     }
 
+    /** Returns the number of attempts whose body is streamed. */
+    int streamedBodies() {
+        return streamedBodies;
+    }
+
     /** Returns whether the bodies of all attempts together exceed their limit. */
     boolean exceedMemory() {
         return bodyBytes > MAXIMUM_BODY_BYTES;
--- a/engine/src/main/java/org/sardineshunt/engine/caller/AttemptFactory.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/AttemptFactory.java
@@ -24,8 +24,10 @@
      *
      * @param lastResort whether the home should run it although its upstream isn't healthy
      * @param leftMillis time left until the deadline
+     * @param acceptsStreaming whether the response may be streamed
      */
-    Attempt create(AdmittedRequest admitted, String attemptId, boolean lastResort, long leftMillis) {
+    Attempt create(
+            AdmittedRequest admitted, String attemptId, boolean lastResort, long leftMillis, boolean acceptsStreaming) {
         HttpRequestData request = admitted.exchange().request();
         RequestAccount account = admitted.account();
         Stream<HttpHeader> forwardedHeaders = HttpHeader.endToEnd(request.headers()).stream()
@@ -62,6 +64,12 @@
                 .setAccount(account.name())
                 .setKeyFingerprint(account.keyFingerprint())
                 .setConfigurationVersion(admitted.configurationVersion())
+                .setBodyFollows(admitted.exchange().streamedBody().isPresent())
+                .setBodyLength(admitted.exchange()
+                        .streamedBody()
+                        .map(body -> body.length() + 1)
+                        .orElse(0L))
+                .setAcceptsStreaming(acceptsStreaming)
                 .build();
     }
 
--- a/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
@@ -18,6 +18,7 @@
 import org.sardineshunt.coordination.placement.PlacementPolicy;
 import org.sardineshunt.coordination.placement.TransferEstimate;
 import org.sardineshunt.coordination.route.Route;
+import org.sardineshunt.engine.AttemptStreams;
 import org.sardineshunt.engine.ControlEventLoop;
 import org.sardineshunt.engine.EngineContext;
 import org.sardineshunt.engine.EngineSettings;
@@ -25,6 +26,7 @@
 import org.sardineshunt.engine.MetricRegistry;
 import org.sardineshunt.engine.http.HttpExchange;
 import org.sardineshunt.engine.http.HttpResponseData;
+import org.sardineshunt.engine.http.StreamedResponse;
 import org.sardineshunt.engine.peer.PeerFailure;
 import org.sardineshunt.engine.platform.ConfigurationTracker;
 import org.sardineshunt.engine.protocol.EngineMessages.Answer;
@@ -152,6 +154,10 @@
                 Math.max(0, request.deadlineMillis() - control.nowMillis()), () -> handleDeadline(pending)));
         request.exchange().onDisconnect(() -> control.execute(() -> handleDisconnect(pending)));
         request.exchange().onEviction(() -> control.execute(() -> handleEviction(pending)));
+        request.exchange().streamedBody().ifPresent(body -> {
+            metrics.count("streamed_bodies", "request");
+            request.exchange().onBodyFailure(() -> control.execute(() -> handleBodyFailure(pending)));
+        });
         dispatch(pending);
     }
 
@@ -174,7 +180,12 @@
     }
 
     private List<HomeView> homes(AdmittedRequest request) {
-        return homeRegistry.homes(request.service(), request.rank(), request.fromRunningRequest());
+        List<HomeView> homes = homeRegistry.homes(request.service(), request.rank(), request.fromRunningRequest());
+        return request.exchange().streamedBody().isEmpty()
+                ? homes
+                : homes.stream()
+                        .filter(home -> homeClient.supportsStreaming(home.nodeId()))
+                        .toList();
     }
 
     private PlacementPolicy.Requirements requirements(AdmittedRequest request, long leftMillis) {
@@ -203,8 +214,9 @@
                 .with("avoided", home.avoided())
                 .with("leftMillis", leftMillis)
                 .write();
-        Attempt message = attempts.create(request, attemptId, choice.lastResort(), leftMillis);
-        Runnable cancellation = homeClient.attempt(homeId, message, result -> {
+        boolean streaming = homeClient.supportsStreaming(homeId);
+        Attempt message = attempts.create(request, attemptId, choice.lastResort(), leftMillis, streaming);
+        Runnable cancellation = homeClient.attempt(homeId, message, streams(pending, streaming), result -> {
             homeRegistry.recordEnded(homeId);
             result.peek(answer -> handleAnswer(pending, attempt, answer))
                     .peekLeft(failure -> handleLinkFailure(pending, attempt, failure));
@@ -212,6 +224,21 @@
         pending.setCancellation(attempt, cancellation);
     }
 
+    private AttemptStreams streams(PendingRequest pending, boolean streaming) {
+        return new AttemptStreams(
+                pending.request().exchange().streamedBody(),
+                streaming ? Optional.of(response -> handleStreamedResponse(pending, response)) : Optional.empty());
+    }
+
+    private void handleStreamedResponse(PendingRequest pending, StreamedResponse response) {
+        if (pending.hasEnded() || pending.hasResponseStarted()) {
+            response.body().pipe().cancel();
+            return;
+        }
+        pending.startResponse();
+        pending.request().exchange().respondStreamed(response);
+    }
+
     private void handleLinkFailure(
             PendingRequest pending, PendingRequest.SentAttempt attempt, PeerFailure linkFailure) {
         AdmittedRequest request = pending.request();
@@ -228,7 +255,7 @@
             handleFailure(pending, attempt, NOT_SENT);
             return;
         }
-        if (request.route().idempotent()) {
+        if (request.route().idempotent() || pending.hasResponseStarted()) {
             handleFailure(pending, attempt, LINK_LOST);
             return;
         }
@@ -251,6 +278,11 @@
         if (pending.hasEnded()) {
             return;
         }
+        if (answer.getStreamed() && !pending.hasResponseStarted()) {
+            // The home knows how the attempt ended, but its response was lost with the link.
+            handleFailure(pending, attempt, LINK_LOST);
+            return;
+        }
         Verdict verdict = Verdict.ofOrdinal(answer.getVerdict()).orElse(Verdict.MAY_HAVE_RUN);
         Reason reason = Reason.ofPeerLabel(answer.getReason());
         if (verdict == Verdict.RAN && reason == Reason.NONE) {
@@ -354,6 +386,13 @@
         respond(pending, retryDecision.evict(pending));
     }
 
+    private void handleBodyFailure(PendingRequest pending) {
+        if (!pending.hasEnded()) {
+            pending.cancelAttempts();
+            respond(pending, retryDecision.failBody(pending));
+        }
+    }
+
     private void handleDisconnect(PendingRequest pending) {
         if (pending.hasEnded()) {
             return;
@@ -378,7 +417,11 @@
         AdmittedRequest request = pending.request();
         pending.end();
         pendingRequests.remove(pending);
-        request.exchange().respond(outcome.response());
+        if (pending.hasFailedBody() && outcome.verdict() != Verdict.NOT_RUN) {
+            request.exchange().abort();
+        } else {
+            request.exchange().respond(outcome.response());
+        }
         long millis = control.nowMillis() - request.startedMillis();
         metrics.count("requests", outcome.reason().label());
         metrics.observe("request_seconds", request.service(), millis);
@@ -437,7 +480,13 @@
          * @return action that cancels the attempt
          */
         Runnable attempt(
-                String homeId, Attempt attempt, java.util.function.Consumer<Either<PeerFailure, Answer>> onResult);
+                String homeId,
+                Attempt attempt,
+                AttemptStreams streams,
+                java.util.function.Consumer<Either<PeerFailure, Answer>> onResult);
+
+        /** Returns whether a home understands streamed bodies. */
+        boolean supportsStreaming(String homeId);
 
         /** Asks a home how an attempt ended; one that hasn't started there never will. */
         void inquire(String homeId, Inquiry inquiry, java.util.function.Consumer<Either<PeerFailure, Answer>> onResult);
--- a/engine/src/main/java/org/sardineshunt/engine/caller/PendingRequest.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/PendingRequest.java
@@ -28,6 +28,7 @@
     private int sentAttempts;
     private int failedAttempts;
     private int offeredAttempts;
+    private boolean responseStarted;
     private boolean ended;
 
     /** Creates the state of a request without attempts. */
@@ -87,6 +88,32 @@
         deadlineTimer.cancel();
     }
 
+    /** Records that the head of a streamed response was sent to the caller. */
+    void startResponse() {
+        responseStarted = true;
+    }
+
+    /** Returns whether the head of a streamed response was sent to the caller, so that no other may follow. */
+    boolean hasResponseStarted() {
+        return responseStarted;
+    }
+
+    /** Returns whether a part of a streamed body was sent to a home, so that no other home can get all of it. */
+    boolean hasSentBody() {
+        return request.exchange()
+                .streamedBody()
+                .filter(body -> body.pipe().isTouched())
+                .isPresent();
+    }
+
+    /** Returns whether the rest of a streamed body will never arrive. */
+    boolean hasFailedBody() {
+        return request.exchange()
+                .streamedBody()
+                .filter(body -> body.pipe().failure() != null)
+                .isPresent();
+    }
+
     AdmittedRequest request() {
         return request;
     }
--- a/engine/src/main/java/org/sardineshunt/engine/caller/RetryDecision.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/RetryDecision.java
@@ -73,6 +73,12 @@
      */
     Optional<String> objection(long nowMillis, PendingRequest pending, PendingRequest.Failure failure) {
         AdmittedRequest request = pending.request();
+        if (pending.hasResponseStarted()) {
+            return Optional.of("response-sent");
+        }
+        if (pending.hasSentBody() || pending.hasFailedBody()) {
+            return Optional.of("body-sent");
+        }
         if (!failure.offered()) {
             return Optional.empty();
         }
@@ -119,15 +125,25 @@
 
     /** Returns how a request ends whose memory is needed for others. */
     Outcome evict(PendingRequest pending) {
+        HttpResponseData notRun = responses.error(pending.request().requestId(), 503, MEMORY_RETRY_AFTER_MILLIS);
+        return endEarly(pending, Reason.MEMORY_SHORT, notRun);
+    }
+
+    /** Returns how a request ends whose streamed body will never be complete. */
+    Outcome failBody(PendingRequest pending) {
+        HttpResponseData notRun = responses.error(pending.request().requestId(), 408, 0);
+        return endEarly(pending, Reason.BODY_INCOMPLETE, notRun);
+    }
+
+    private Outcome endEarly(PendingRequest pending, Reason reason, HttpResponseData notRun) {
         boolean neverRuns = pending.verdictSoFar() == Verdict.NOT_RUN
                 && pending.attemptsInFlight().isEmpty();
-        String requestId = pending.request().requestId();
         return neverRuns
-                ? new Outcome(
-                        Verdict.NOT_RUN,
-                        Reason.MEMORY_SHORT,
-                        responses.error(requestId, 503, MEMORY_RETRY_AFTER_MILLIS))
-                : new Outcome(Verdict.MAY_HAVE_RUN, Reason.MEMORY_SHORT, responses.error(requestId, 502, 0));
+                ? new Outcome(Verdict.NOT_RUN, reason, notRun)
+                : new Outcome(
+                        Verdict.MAY_HAVE_RUN,
+                        reason,
+                        responses.error(pending.request().requestId(), 502, 0));
     }
 
     private static Optional<Outcome> errorOutcome(PendingRequest pending) {
--- a/engine/src/main/java/org/sardineshunt/engine/http/BodyBuffer.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/BodyBuffer.java
@@ -1,7 +1,9 @@
 package org.sardineshunt.engine.http;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
 
@@ -71,6 +73,16 @@
         return joined;
     }
 
+    /** Passes on all bytes in order. The buffer must not be used afterwards. */
+    void drainTo(Consumer<byte[]> consumer) {
+        int remaining = size;
+        for (byte[] segment : segments) {
+            consumer.accept(segment.length <= remaining ? segment : Arrays.copyOf(segment, remaining));
+            remaining -= Math.min(remaining, segment.length);
+        }
+        segments.clear();
+    }
+
     private boolean isOneFullSegment() {
         return segments.size() == 1 && segments.get(0).length == size;
     }
--- a/engine/src/main/java/org/sardineshunt/engine/http/ClientConnection.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/ClientConnection.java
@@ -3,20 +3,24 @@
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -57,6 +61,9 @@
     private HttpClient.Call call;
     private HttpResponse head;
     private BodyBuffer body;
+    private BodyWriter requestWriter;
+    private BodyPipe responsePipe;
+    private boolean streamingRefused;
     private boolean attributionUncertain;
     private boolean usedBefore;
     private boolean discarding;
@@ -95,11 +102,21 @@
     }
 
     /**
-     * Encodes a request.
+     * Encodes a request, or only its head if its body is streamed.
      *
      * @throws IllegalArgumentException if HTTP doesn't allow its method or a header
      */
-    static FullHttpRequest encode(HttpRequestData request) {
+    static HttpRequest encode(HttpRequestData request, Optional<StreamedBody> streamedBody) {
+        if (streamedBody.isPresent()) {
+            DefaultHttpRequest head = new DefaultHttpRequest(
+                    HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method()), request.target());
+            request.headers().forEach(header -> head.headers().add(header.name(), header.value()));
+            HttpUtil.setTransferEncodingChunked(head, streamedBody.get().length() < 0);
+            if (streamedBody.get().length() >= 0) {
+                HttpUtil.setContentLength(head, streamedBody.get().length());
+            }
+            return head;
+        }
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 HttpMethod.valueOf(request.method()),
@@ -112,8 +129,13 @@
         return message;
     }
 
-    void send(HttpClient.Call newCall, FullHttpRequest message) {
+    void send(HttpClient.Call newCall, HttpRequest message) {
         call = newCall;
+        streamingRefused = false;
+        requestWriter = newCall.streams()
+                .requestBody()
+                .map(streamed -> new BodyWriter(channel, streamed.pipe(), new RequestBodyListener(newCall)))
+                .orElse(null);
         channel.writeAndFlush(message).addListener(written -> {
             if (!written.isSuccess()) {
                 fail(
@@ -122,6 +144,11 @@
                         "cannot write the request: " + written.cause().getMessage());
             }
         });
+        if (requestWriter != null) {
+            channel.writeAndFlush(new DefaultHttpContent(
+                    Unpooled.wrappedBuffer(newCall.request().body())));
+            requestWriter.start();
+        }
     }
 
     void close() {
@@ -152,9 +179,20 @@
         }
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (requestWriter != null) {
+            requestWriter.writeAvailable();
+        }
+        context.fireChannelWritabilityChanged();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         onClosed.accept(this);
+        if (requestWriter != null) {
+            requestWriter.stop();
+        }
         fail(call, FailureKind.CLOSED, "connection closed before the response was complete");
     }
 
@@ -196,14 +234,45 @@
         }
         head = response;
         body = new BodyBuffer();
+        if (HttpUtil.getContentLength(response, 0L) > StreamedBody.RESPONSE_THRESHOLD_BYTES) {
+            streamIfAccepted();
+        }
     }
 
-    private void receiveContent(HttpContent content) {
-        if (call == null || !call.receive(content.content().readableBytes())) {
+    private void streamIfAccepted() {
+        HttpResponseData headData = toResponse(new byte[0]);
+        if (streamingRefused || !call.streams().acceptsResponse().test(headData)) {
+            streamingRefused = true;
             return;
         }
-        if (!discarding && body != null) {
+        long length = HttpUtil.getContentLength(head, StreamedBody.UNKNOWN_LENGTH);
+        responsePipe = call.startResponse(headData, length, this::updateReading);
+        body.drainTo(responsePipe::write);
+        updateReading();
+    }
+
+    // Reading stops while the caller doesn't take the response.
+    private void updateReading() {
+        channel.config().setAutoRead(responsePipe == null || responsePipe.hasRoom());
+    }
+
+    private void receiveContent(HttpContent content) {
+        if (call != null && responsePipe != null) {
+            byte[] part = new byte[content.content().readableBytes()];
+            content.content().readBytes(part);
+            responsePipe.write(part);
+            updateReading();
+            if (responsePipe.failure() != null) {
+                fail(call, FailureKind.MEMORY_SHORT, responsePipe.failure());
+                return;
+            }
+        } else if (call == null || !call.receive(content.content().readableBytes())) {
+            return;
+        } else if (!discarding && body != null) {
             body.append(content.content());
+            if (body.size() > StreamedBody.RESPONSE_THRESHOLD_BYTES) {
+                streamIfAccepted();
+            }
         }
         if (!(content instanceof LastHttpContent)) {
             return;
@@ -217,13 +286,10 @@
 
     private void completeResponse() {
         // Joining the parts needs the body's length again until the parts are released.
-        if (!call.reserveMemory(body.joiningAllocation())) {
+        if (responsePipe == null && !call.reserveMemory(body.joiningAllocation())) {
             return;
         }
-        List<HttpHeader> headers = head.headers().entries().stream()
-                .map(entry -> new HttpHeader(entry.getKey(), entry.getValue()))
-                .toList();
-        HttpResponseData response = new HttpResponseData(head.status().code(), headers, body.toArray());
+        HttpResponseData response = toResponse(responsePipe == null ? body.toArray() : new byte[0]);
         String echoedValue = echoedValue(call.request());
         if (response.status() >= FIRST_ERROR_STATUS && echoedValue != null) {
             failedRequests.add(echoedValue);
@@ -232,17 +298,32 @@
                 && hasDelimitedBody(head)
                 && !attributionUncertain
                 && failedRequests.size() <= MAXIMUM_FAILED_REQUESTS
+                // A response before the end of the request: the rest of the body would be taken for the next request.
+                && (requestWriter == null || requestWriter.isComplete())
                 && channel.isActive();
         serverIdleTimeoutMillis = serverIdleTimeoutMillis(response);
         idleSinceNanos = System.nanoTime();
         usedBefore = true;
         HttpClient.Call completedCall = call;
+        if (requestWriter != null) {
+            requestWriter.stop();
+            requestWriter = null;
+        }
+        responsePipe = null;
+        updateReading();
         call = null;
         head = null;
         body = null;
         completedCall.complete(response, reusable);
     }
 
+    private HttpResponseData toResponse(byte[] bodyBytes) {
+        List<HttpHeader> headers = head.headers().entries().stream()
+                .map(entry -> new HttpHeader(entry.getKey(), entry.getValue()))
+                .toList();
+        return new HttpResponseData(head.status().code(), headers, bodyBytes);
+    }
+
     private void fail(HttpClient.Call failedCall, FailureKind kind, String detail) {
         if (failedCall != null && failedCall == call) {
             call = null;
@@ -250,6 +331,25 @@
         }
     }
 
+    /** Records the end of a streamed request body. */
+    private final class RequestBodyListener implements BodyWriter.Listener {
+        private final HttpClient.Call streamingCall;
+
+        private RequestBodyListener(HttpClient.Call streamingCall) {
+            this.streamingCall = streamingCall;
+        }
+
+        @Override
+        public void completed(ChannelFuture lastWrite) {
+            streamingCall.recordBodySent();
+        }
+
+        @Override
+        public void failed(String cause) {
+            fail(streamingCall, FailureKind.CANCELLED, "request body: " + cause);
+        }
+    }
+
     // Null if the request has no such header.
     private String echoedValue(HttpRequestData request) {
         return echoedHeader.isEmpty()
--- a/engine/src/main/java/org/sardineshunt/engine/http/HttpClient.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/HttpClient.java
@@ -17,7 +17,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpRequest;
 import org.sardineshunt.coordination.memory.MemoryBudget;
 import org.sardineshunt.coordination.memory.MemoryBudget.Kind;
 import org.sardineshunt.engine.http.HttpOutcome.Failed;
@@ -89,7 +89,22 @@
      */
     public Call send(
             InetSocketAddress address, HttpRequestData request, Options options, Consumer<HttpOutcome> onOutcome) {
-        Call call = new Call(address, request, options, onOutcome);
+        return send(address, request, options, CallStreams.NONE, onOutcome);
+    }
+
+    /**
+     * Sends a request whose body or response may be streamed. A streamed response is complete or has failed when the
+     * outcome is reported.
+     *
+     * @param onOutcome called once, on the event loop, when the call has ended
+     */
+    public Call send(
+            InetSocketAddress address,
+            HttpRequestData request,
+            Options options,
+            CallStreams streams,
+            Consumer<HttpOutcome> onOutcome) {
+        Call call = new Call(address, request, options, streams, onOutcome);
         loop.execute(call::start);
         return call;
     }
@@ -182,19 +197,29 @@
         private final InetSocketAddress address;
         private final HttpRequestData request;
         private final Options options;
+        private final CallStreams streams;
         private final Consumer<HttpOutcome> onOutcome;
+        private final long createdNanos = System.nanoTime();
+        private volatile long headNanos;
+        private volatile long bodySentNanos;
+        private volatile BodyPipe responsePipe;
         private ClientConnection connection;
         private java.util.concurrent.ScheduledFuture<?> timeoutTimer;
         private MemoryBudget.Holder holder;
         private int reservedBytes;
         private boolean sent;
-        private boolean ended;
+        private volatile boolean ended;
 
         private Call(
-                InetSocketAddress address, HttpRequestData request, Options options, Consumer<HttpOutcome> onOutcome) {
+                InetSocketAddress address,
+                HttpRequestData request,
+                Options options,
+                CallStreams streams,
+                Consumer<HttpOutcome> onOutcome) {
             this.address = address;
             this.request = request;
             this.options = options;
+            this.streams = streams;
             this.onOutcome = onOutcome;
         }
 
@@ -203,10 +228,55 @@
             loop.execute(() -> fail(FailureKind.CANCELLED, "cancelled"));
         }
 
+        /**
+         * Returns how long the server took, without the time that a streamed body or response was in transit: from the
+         * end of the request to the head of the response, or to now while there is none.
+         */
+        public long serverMillis() {
+            long startNanos = bodySentNanos == 0 ? createdNanos : bodySentNanos;
+            long endNanos = headNanos == 0 ? System.nanoTime() : headNanos;
+            return Math.max(0, (endNanos - startNanos) / 1_000_000);
+        }
+
+        /** Returns whether a body is in transit, so that the caller determines how long the call takes. */
+        public boolean isStreaming() {
+            return !ended && (responsePipe != null || streams.requestBody().isPresent() && bodySentNanos == 0);
+        }
+
         HttpRequestData request() {
             return request;
         }
 
+        CallStreams streams() {
+            return streams;
+        }
+
+        void recordBodySent() {
+            bodySentNanos = System.nanoTime();
+        }
+
+        /** Passes a streamed response on and returns the pipe for its body. */
+        BodyPipe startResponse(HttpResponseData head, long length, Runnable onConsumed) {
+            headNanos = System.nanoTime();
+            releaseMemory();
+            LoopRunner runner = new LoopRunner(loop);
+            responsePipe = new BodyPipe(memory, new BodyPipe.Source() {
+                @Override
+                public void consumed(int bytes) {
+                    runner.run(onConsumed);
+                }
+
+                @Override
+                public void cancelled() {
+                    cancel();
+                }
+            });
+            streams.onResponse()
+                    .accept(new StreamedResponse(
+                            head.status(), head.headers(), new StreamedBody(responsePipe, length)));
+            return responsePipe;
+        }
+
         /** Counts received bytes; fails the call and returns false if they exceed a limit. */
         boolean receive(int bytes) {
             if (ended) {
@@ -245,7 +315,10 @@
             if (ended) {
                 return;
             }
-            finish(new HttpOutcome.Responded(response));
+            if (responsePipe != null) {
+                responsePipe.end();
+            }
+            finish(new HttpOutcome.Responded(response, responsePipe != null));
             if (reusable) {
                 returnToPool(connection);
             } else {
@@ -257,6 +330,9 @@
             if (ended) {
                 return;
             }
+            if (responsePipe != null) {
+                responsePipe.fail(detail);
+            }
             finish(new Failed(sent ? Stage.SENT : Stage.NOT_SENT, kind, detail));
             if (connection != null) {
                 connection.close();
@@ -265,7 +341,10 @@
 
         private void start() {
             timeoutTimer = loop.schedule(
-                    () -> fail(FailureKind.TIMEOUT, "no complete response within " + options.timeoutMillis() + " ms"),
+                    // A body in transit that is late says nothing about the server.
+                    () -> fail(
+                            isStreaming() ? FailureKind.CANCELLED : FailureKind.TIMEOUT,
+                            "no complete response within " + options.timeoutMillis() + " ms"),
                     Math.max(1, options.timeoutMillis()),
                     TimeUnit.MILLISECONDS);
             connection = takeFromPool(address, request, options.maximumIdleMillis());
@@ -294,17 +373,22 @@
         }
 
         private void sendRequest() {
-            FullHttpRequest message = ClientConnection.encode(request);
+            HttpRequest message = ClientConnection.encode(request, streams.requestBody());
             sent = true;
             connection.send(this, message);
         }
 
-        private void finish(HttpOutcome outcome) {
-            ended = true;
+        private void releaseMemory() {
             bufferedBytes -= reservedBytes;
+            reservedBytes = 0;
             if (holder != null) {
                 holder.close();
             }
+        }
+
+        private void finish(HttpOutcome outcome) {
+            ended = true;
+            releaseMemory();
             timeoutTimer.cancel(false);
             onOutcome.accept(outcome);
         }
--- a/engine/src/main/java/org/sardineshunt/engine/http/HttpOutcome.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/HttpOutcome.java
@@ -5,9 +5,15 @@
     /**
      * A complete response was received.
      *
-     * @param response the response, whatever its status
+     * @param response the response, whatever its status; without its body if that was streamed
+     * @param streamed whether the body was streamed
      */
-    record Responded(HttpResponseData response) implements HttpOutcome {}
+    record Responded(HttpResponseData response, boolean streamed) implements HttpOutcome {
+        /** Creates the outcome of a call whose response was not streamed. */
+        public Responded(HttpResponseData response) {
+            this(response, false);
+        }
+    }
 
     /**
      * No complete response was received.
--- a/engine/src/main/java/org/sardineshunt/engine/http/HttpServer.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/HttpServer.java
@@ -127,7 +127,7 @@
     /** Serves a new connection, unless too many are open and none of them is idle. */
     void accept(Channel channel) {
         if (connections.size() >= resources.maximumConnections()) {
-            resources.connectionClosed().run();
+            resources.connectionClosed().accept(connections.size());
             Optional<ServerConnection> longestIdle = connections.stream()
                     .filter(ServerConnection::isIdle)
                     .min(Comparator.comparingLong(ServerConnection::lastActivityNanos));
--- a/engine/src/main/java/org/sardineshunt/engine/http/ReadTimer.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/ReadTimer.java
@@ -13,7 +13,7 @@
 final class ReadTimer {
     // A timer that is later than this follows a pause of the process, after which waiting bytes are read first.
     private static final long PAUSE_MILLIS = 300;
-    private static final long RECHECK_MILLIS = 300;
+    private static final long RECHECK_MILLIS = 1_000;
 
     private final Channel channel;
     private final Runnable onTimeout;
--- a/engine/src/main/java/org/sardineshunt/engine/http/RequestDecoder.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/RequestDecoder.java
@@ -16,7 +16,7 @@
     private static final int MEMORY_PER_LINE = 200;
     private static final int MEMORY_PER_HEAD = 4_096;
 
-    private boolean headStarted;
+    private HttpMessage partialHead;
     private long headBytes;
     private long headLines;
     private long lastReadBytes;
@@ -31,7 +31,7 @@
 
     /** Returns whether bytes were received that are not decoded yet, or a head of which only lines are. */
     boolean holdsIncompleteData() {
-        return headStarted || actualReadableBytes() > 0;
+        return partialHead != null || actualReadableBytes() > 0;
     }
 
     /** Returns an estimate of the memory that the data received since the last complete head or body part uses. */
@@ -41,7 +41,7 @@
 
     /** Starts the estimate again with the current read; called for each decoded part of a request. */
     void recordDecodedPart() {
-        headStarted = false;
+        partialHead = null;
         headBytes = lastReadBytes;
         headLines = lastReadLines;
     }
@@ -52,6 +52,13 @@
         headLines = 0;
     }
 
+    /** Drops the headers of an incomplete head; the connection must not be used for further requests. */
+    void discardPartialHead() {
+        if (partialHead != null) {
+            partialHead.headers().clear();
+        }
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         if (message instanceof ByteBuf bytes) {
@@ -65,8 +72,8 @@
 
     @Override
     protected HttpMessage createMessage(String[] initialLine) throws Exception {
-        headStarted = true;
-        return super.createMessage(initialLine);
+        partialHead = super.createMessage(initialLine);
+        return partialHead;
     }
 
     private static long countLines(ByteBuf bytes) {
--- a/engine/src/main/java/org/sardineshunt/engine/http/RequestMemory.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/RequestMemory.java
@@ -25,6 +25,16 @@
         holder = budget.open(Kind.REQUEST, LoopRunner.nowMillis(), () -> runner.run(() -> this.evictionAction.run()));
     }
 
+    private RequestMemory() {
+        headBytes = 0;
+        holder = MemoryBudget.unlimited().open(Kind.REQUEST, LoopRunner.nowMillis(), () -> {});
+    }
+
+    /** Returns the memory of a request that was not received. */
+    static RequestMemory none() {
+        return new RequestMemory();
+    }
+
     /** Reserves memory for a part of the body, with the first part also that of the head. */
     boolean tryReserve(int bytes) {
         long now = LoopRunner.nowMillis();
--- a/engine/src/main/java/org/sardineshunt/engine/http/RequestReceiver.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/RequestReceiver.java
@@ -1,12 +1,14 @@
 package org.sardineshunt.engine.http;
 
 import java.util.List;
+import java.util.Optional;
 
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.sardineshunt.coordination.memory.MemoryBudget;
 import org.sardineshunt.coordination.memory.MemoryBudget.Kind;
@@ -20,6 +22,9 @@
     /** Headers of the response to a request that is refused because memory is short. */
     static final List<HttpHeader> MEMORY_SHORT_HEADERS = List.of(new HttpHeader("Retry-After", "0.50"));
 
+    // A streamed body that makes no progress for this long occupies a slot of an upstream in vain.
+    private static final long STREAM_STALL_MILLIS = 10_000;
+
     private final HttpServer server;
     private final CallerLimits limits;
     private final RequestDecoder decoder;
@@ -27,10 +32,14 @@
     private final LoopRunner runner;
     private final ReadTimer headTimer;
     private final ReadTimer bodyTimer;
+    private final ReadTimer stallTimer;
     private MemoryBudget.Holder partialHeadMemory;
     private RequestMemory memory;
     private HttpRequest head;
     private BodyBuffer body;
+    private BodyPipe stream;
+    private long bodyLength;
+    private long streamedBytes;
     private long headReceivedNanos;
 
     RequestReceiver(
@@ -41,6 +50,7 @@
         this.listener = listener;
         runner = new LoopRunner(channel.eventLoop());
         headTimer = new ReadTimer(channel, () -> reject(HttpResponseStatus.REQUEST_TIMEOUT, List.of()));
+        stallTimer = new ReadTimer(channel, () -> failStream("no progress for " + STREAM_STALL_MILLIS + " ms"));
         bodyTimer = new ReadTimer(channel, () -> reject(HttpResponseStatus.REQUEST_TIMEOUT, List.of()));
     }
 
@@ -54,9 +64,15 @@
         return head != null || decoder.holdsIncompleteData();
     }
 
+    /** Returns whether the sink of a streamed body takes more. */
+    boolean hasRoom() {
+        return stream == null || stream.hasRoom();
+    }
+
     void receiveHead(HttpRequest request) {
         discard();
-        if (HttpUtil.getContentLength(request, 0L) > limits.bodyBytes()) {
+        bodyLength = HttpUtil.getContentLength(request, StreamedBody.UNKNOWN_LENGTH);
+        if (bodyLength > limits.bodyBytes()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, List.of());
             return;
         }
@@ -67,6 +83,10 @@
     }
 
     void receiveContent(HttpContent content) {
+        if (stream != null) {
+            receiveStreamedContent(content);
+            return;
+        }
         int bytes = content.content().readableBytes();
         if ((long) body.size() + bytes > limits.bodyBytes()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, List.of());
@@ -78,13 +98,22 @@
         }
         body.append(content.content());
         if (content instanceof LastHttpContent) {
-            complete();
+            joinBody().ifPresent(joined -> passOn(joined, Optional.empty()));
+        } else if (Math.max(bodyLength, body.size()) > StreamedBody.REQUEST_THRESHOLD_BYTES) {
+            joinBody().ifPresent(this::startStream);
         }
     }
 
     /** Starts the timer and reserves the memory of a request of which only a part has arrived. */
     void handleReadComplete() {
-        if (head != null) {
+        if (stream != null) {
+            stallTimer.startIfStopped(() -> STREAM_STALL_MILLIS);
+        } else if (head != null) {
+            // A head without a part of its body counts, too.
+            if (!memory.tryReserve(0)) {
+                refuseForMemory();
+                return;
+            }
             bodyTimer.startIfStopped(() -> {
                 long elapsedMillis = (System.nanoTime() - headReceivedNanos) / 1_000_000;
                 return server.rules().bodyTimeoutMillis(toRequest(new byte[0])) - elapsedMillis;
@@ -100,8 +129,13 @@
     void discard() {
         headTimer.stop();
         bodyTimer.stop();
+        stallTimer.stop();
         head = null;
         body = null;
+        if (stream != null) {
+            stream.fail("the request has ended");
+            stream = null;
+        }
         if (memory != null) {
             memory.close();
             memory = null;
@@ -125,16 +159,82 @@
         headTimer.startIfStopped(limits::headerTimeoutMillis);
     }
 
-    private void complete() {
+    // Empty if the request was refused because memory is short.
+    private Optional<byte[]> joinBody() {
         // Joining the parts needs the body's length again until the parts are released.
         int joiningBytes = body.joiningAllocation();
         if (joiningBytes > 0 && !memory.tryReserve(joiningBytes)) {
             refuseForMemory();
+            return Optional.empty();
+        }
+        return Optional.of(body.toArray());
+    }
+
+    private void startStream(byte[] firstPart) {
+        BodyPipe pipe = new BodyPipe(server.memory(), new BodyPipe.Source() {
+            @Override
+            public void consumed(int bytes) {
+                runner.run(listener::roomChanged);
+            }
+
+            @Override
+            public void cancelled() {
+                runner.run(listener::roomChanged);
+            }
+        });
+        HttpRequest streamedHead = head;
+        streamedBytes = firstPart.length;
+        long length = bodyLength;
+        passOn(firstPart, Optional.of(new StreamedBody(pipe, length)));
+        // The handler may have ended the connection.
+        if (!pipe.isCancelled() && pipe.failure() == null) {
+            head = streamedHead;
+            stream = pipe;
+        }
+    }
+
+    private void receiveStreamedContent(HttpContent content) {
+        stallTimer.stop();
+        byte[] part = new byte[content.content().readableBytes()];
+        content.content().readBytes(part);
+        streamedBytes += part.length;
+        if (streamedBytes > limits.bodyBytes()) {
+            failStream("body exceeds the limit");
             return;
         }
-        int releasedBytes = joiningBytes > 0 ? body.allocatedBytes() : 0;
+        stream.write(part);
+        if (stream.failure() != null) {
+            failStream(stream.failure());
+        } else if (content instanceof LastHttpContent) {
+            stream.end();
+            stream = null;
+            discard();
+            listener.streamEnded();
+        } else {
+            listener.roomChanged();
+        }
+    }
+
+    private void failStream(String cause) {
+        if (stream != null) {
+            stream.fail(cause);
+            stream = null;
+            discard();
+            listener.streamFailed();
+        }
+    }
+
+    private void passOn(byte[] bodyBytes, Optional<StreamedBody> streamedBody) {
+        int releasedBytes = body.joiningAllocation() > 0 ? body.allocatedBytes() : 0;
+        boolean acceptsChunks = head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
         Received received = new Received(
-                toRequest(body.toArray()), HttpUtil.isKeepAlive(head), headReceivedNanos, memory, releasedBytes);
+                toRequest(bodyBytes),
+                HttpUtil.isKeepAlive(head),
+                acceptsChunks,
+                headReceivedNanos,
+                memory,
+                releasedBytes,
+                streamedBody);
         memory = null;
         discard();
         listener.received(received);
@@ -146,6 +246,7 @@
 
     private void reject(HttpResponseStatus status, List<HttpHeader> headers) {
         discard();
+        decoder.discardPartialHead();
         listener.rejected(new HttpResponseData(status.code(), headers, new byte[0]));
     }
 
@@ -156,24 +257,47 @@
         return new HttpRequestData(head.method().name(), head.uri(), headers, bodyBytes);
     }
 
-    /** Receives complete requests and the responses to rejected ones, on the event loop. */
+    /** Receives requests and the responses to rejected ones, on the event loop. */
     interface Listener {
-        /** Called with each complete request. */
+        /** Called with each request that is complete or whose body is long enough to be streamed. */
         void received(Received request);
 
         /** Called with the response to a request that is rejected before it is complete; no further one is received. */
         void rejected(HttpResponseData response);
+
+        /** Called when the sink of a streamed body may take more, or less, than before. */
+        void roomChanged();
+
+        /** Called when a streamed body is complete. */
+        void streamEnded();
+
+        /** Called when a streamed body will never be complete. */
+        void streamFailed();
     }
 
     /**
-     * A complete request.
+     * A request whose body is complete or streamed.
      *
-     * @param request the request
+     * @param request the request, with the first part of a streamed body
      * @param keepAlive whether the connection stays open after the response
+     * @param acceptsChunks whether the response may be sent in chunks
      * @param headNanos when its head was received
      * @param memory memory of the request, not marked as complete yet
      * @param releasedBytes bytes of the memory that are no longer used
+     * @param streamedBody rest of the body; empty if it is complete
      */
     record Received(
-            HttpRequestData request, boolean keepAlive, long headNanos, RequestMemory memory, int releasedBytes) {}
+            HttpRequestData request,
+            boolean keepAlive,
+            boolean acceptsChunks,
+            long headNanos,
+            RequestMemory memory,
+            int releasedBytes,
+            Optional<StreamedBody> streamedBody) {
+        /** Returns what is known of a request that was rejected before it was complete. */
+        static Received unknown() {
+            HttpRequestData request = new HttpRequestData("", "", List.of(), new byte[0]);
+            return new Received(request, false, false, System.nanoTime(), RequestMemory.none(), 0, Optional.empty());
+        }
+    }
 }
--- a/engine/src/main/java/org/sardineshunt/engine/http/ServerConnection.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/ServerConnection.java
@@ -10,16 +10,20 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -47,6 +51,9 @@
     // arrives is discarded for this time.
     private static final long LINGER_MILLIS = 500;
 
+    // More of a streamed body that nobody needs is not read, although the response goes out.
+    private static final long MAXIMUM_DISCARDED_BYTES = 64 << 10;
+
     private final HttpServer server;
     private final Channel channel;
     private final CallerLimits limits;
@@ -55,12 +62,17 @@
     private final RequestReceiver receiver;
     private final UnwrittenResponses unwrittenBytes;
     private final Consumer<HttpExchange> handler;
-    private final Deque<Exchange> unanswered = new ArrayDeque<>();
+    private final Deque<ServerExchange> unanswered = new ArrayDeque<>();
     private final AtomicInteger unwrittenResponses = new AtomicInteger();
+    private final ServerExchange.Connection exchangeConnection = new ExchangeConnection();
+    private BodyWriter responseWriter;
     private ScheduledFuture<?> idleTimer;
     private long unansweredBytes;
     private boolean continueExpected;
     private boolean inputEnded;
+    private boolean closing;
+    private boolean discardingStream;
+    private long discardedBytes;
     private volatile boolean receiving;
     private volatile boolean serving;
     private volatile long lastActivityNanos = System.nanoTime();
@@ -117,6 +129,7 @@
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
         lastActivityNanos = System.nanoTime();
         if (inputEnded) {
+            countDiscarded(message);
             return;
         }
         if (message.decoderResult().isFailure()) {
@@ -148,7 +161,11 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        if (!inputEnded) {
+        if (responseWriter != null) {
+            responseWriter.writeAvailable();
+            unwrittenBytes.update();
+        }
+        if (!closing) {
             startRequests();
             updateReading();
         }
@@ -161,9 +178,9 @@
         inputEnded = true;
         receiver.discard();
         unwrittenBytes.close();
-        List<Exchange> disconnected = List.copyOf(unanswered);
+        List<ServerExchange> disconnected = List.copyOf(unanswered);
         discardUnanswered();
-        disconnected.forEach(Exchange::disconnect);
+        disconnected.forEach(ServerExchange::disconnect);
     }
 
     @Override
@@ -182,22 +199,20 @@
 
     private void reject(HttpResponseData response) {
         inputEnded = true;
-        HttpRequestData unknown = new HttpRequestData("", "", List.of(), new byte[0]);
-        Exchange rejected = new Exchange(unknown, System.nanoTime(), () -> {});
-        rejected.started = true;
-        rejected.response = response;
+        ServerExchange rejected = new ServerExchange(exchangeConnection, RequestReceiver.Received.unknown());
+        rejected.markStarted();
         addUnanswered(rejected);
-        writeResponses();
+        rejected.setResponse(response);
     }
 
-    private void addUnanswered(Exchange exchange) {
+    private void addUnanswered(ServerExchange exchange) {
         unanswered.add(exchange);
-        unansweredBytes += exchange.request.body().length;
+        unansweredBytes += exchange.request().body().length;
         serving = true;
     }
 
     private void discardUnanswered() {
-        unanswered.forEach(exchange -> exchange.releaseMemory.run());
+        unanswered.forEach(ServerExchange::discard);
         unanswered.clear();
         unansweredBytes = 0;
         serving = false;
@@ -208,15 +223,15 @@
     private void startRequests() {
         int running = 0;
         boolean mayOverlap = true;
-        for (Exchange exchange : List.copyOf(unanswered)) {
+        for (ServerExchange exchange : List.copyOf(unanswered)) {
             mayOverlap &= unanswered.size() == 1 || exchange.mayOverlap();
-            if (!exchange.started) {
+            if (!exchange.isStarted()) {
                 boolean roomBehind =
                         mayOverlap && running < MAXIMUM_CONCURRENT_REQUESTS && !server.isClosingAfterResponses();
                 if (running > 0 && !roomBehind || !channel.isWritable()) {
                     return;
                 }
-                exchange.started = true;
+                exchange.markStarted();
                 handler.accept(exchange);
             }
             running++;
@@ -226,34 +241,31 @@
     private void updateReading() {
         boolean room = unanswered.size() < MAXIMUM_UNANSWERED_REQUESTS
                 && unansweredBytes < MAXIMUM_UNANSWERED_BYTES
-                && channel.isWritable();
+                && channel.isWritable()
+                && receiver.hasRoom();
         channel.config().setAutoRead(room);
     }
 
-    private void setResponse(Exchange exchange, HttpResponseData response) {
-        if (exchange.response == null && unanswered.contains(exchange)) {
-            exchange.response = response;
-            exchange.releaseMemory.run();
-            unwrittenBytes.addWaiting(response);
-            writeResponses();
-            unwrittenBytes.update();
-        }
-    }
-
     private void writeResponses() {
-        while (!unanswered.isEmpty() && unanswered.peek().response != null) {
-            Exchange exchange = unanswered.poll();
-            unansweredBytes -= exchange.request.body().length;
-            unwrittenBytes.removeWaiting(exchange.response);
-            boolean close = !exchange.keepAlive || server.isClosingAfterResponses() && noneStarted();
-            encoder.setRespondingToHead(exchange.request.method().equals("HEAD"));
-            write(exchange.response, close);
+        while (responseWriter == null
+                && !unanswered.isEmpty()
+                && unanswered.peek().hasResponse()) {
+            ServerExchange exchange = unanswered.peek();
+            boolean close = !exchange.keepsAlive() || server.isClosingAfterResponses() && noneStartedBehindFirst();
+            encoder.setRespondingToHead(exchange.request().method().equals("HEAD"));
+            if (exchange.response() == null) {
+                writeStreamed(exchange, close);
+                return;
+            }
+            unwrittenBytes.removeWaiting(exchange.response());
+            endAfter(close, write(exchange.response(), close));
             if (close) {
-                inputEnded = true;
-                discardUnanswered();
                 return;
             }
         }
+        if (responseWriter != null) {
+            return;
+        }
         startRequests();
         updateReading();
         writeExpectedContinue();
@@ -263,12 +275,73 @@
         }
     }
 
+    // Removes the first exchange, whose response ends with the given write.
+    private void endAfter(boolean close, ChannelFuture lastWrite) {
+        ServerExchange exchange = unanswered.poll();
+        unansweredBytes -= exchange.request().body().length;
+        lastActivityNanos = System.nanoTime();
+        unwrittenResponses.incrementAndGet();
+        lastWrite.addListener(written -> {
+            unwrittenResponses.decrementAndGet();
+            if (close) {
+                closeAfterLinger();
+            }
+        });
+        if (close) {
+            closing = true;
+            inputEnded = true;
+            discardingStream = exchange.hasIncompleteBody();
+            receiver.discard();
+            discardUnanswered();
+        }
+    }
+
     // Requests that have started must be answered, others count as not read when the connection closes.
-    private boolean noneStarted() {
-        return unanswered.stream().noneMatch(exchange -> exchange.started);
+    private boolean noneStartedBehindFirst() {
+        return unanswered.stream().skip(1).noneMatch(ServerExchange::isStarted);
+    }
+
+    private void writeStreamed(ServerExchange exchange, boolean close) {
+        StreamedResponse streamed = exchange.streamedResponse();
+        long length = streamed.body().length();
+        boolean delimited = length >= 0 || exchange.acceptsChunks();
+        boolean closeAfter = close || !delimited;
+        HttpResponse head =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(streamed.status()));
+        streamed.headers().forEach(header -> head.headers().add(header.name(), header.value()));
+        if (length >= 0) {
+            HttpUtil.setContentLength(head, length);
+        } else if (delimited) {
+            HttpUtil.setTransferEncodingChunked(head, true);
+        }
+        if (closeAfter) {
+            head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        channel.writeAndFlush(head);
+        responseWriter = new BodyWriter(channel, streamed.body().pipe(), new BodyWriter.Listener() {
+            @Override
+            public void completed(ChannelFuture lastWrite) {
+                responseWriter = null;
+                endAfter(closeAfter, lastWrite);
+                if (!closeAfter) {
+                    writeResponses();
+                }
+            }
+
+            @Override
+            public void failed(String cause) {
+                if (!delimited) {
+                    // Without a length or chunks, only a reset tells that the response is not complete.
+                    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                }
+                channel.close();
+            }
+        });
+        responseWriter.start();
+        unwrittenBytes.update();
     }
 
-    private void write(HttpResponseData responseData, boolean close) {
+    private ChannelFuture write(HttpResponseData responseData, boolean close) {
         FullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(responseData.status()),
@@ -280,14 +353,14 @@
         if (close) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        lastActivityNanos = System.nanoTime();
-        unwrittenResponses.incrementAndGet();
-        channel.writeAndFlush(response).addListener(written -> {
-            unwrittenResponses.decrementAndGet();
-            if (close) {
-                closeAfterLinger();
-            }
-        });
+        return channel.writeAndFlush(response);
+    }
+
+    private void countDiscarded(HttpObject message) {
+        if (discardingStream && message instanceof HttpContent content) {
+            discardedBytes += content.content().readableBytes();
+            channel.config().setAutoRead(discardedBytes < MAXIMUM_DISCARDED_BYTES);
+        }
     }
 
     private void closeAfterLinger() {
@@ -325,13 +398,18 @@
 
     /** Queues received requests and writes the responses to rejected ones. */
     private final class ReceiverListener implements RequestReceiver.Listener {
+        // The request whose body is being streamed; null if there is none.
+        private ServerExchange streaming;
+
         @Override
         public void received(RequestReceiver.Received received) {
-            Exchange exchange = new Exchange(received.request(), received.headNanos(), received.memory()::close);
-            exchange.keepAlive = received.keepAlive();
-            received.memory().complete(received.releasedBytes(), exchange::evict);
+            ServerExchange exchange = new ServerExchange(exchangeConnection, received);
             continueExpected = false;
-            inputEnded = !received.keepAlive();
+            if (received.streamedBody().isPresent()) {
+                streaming = exchange;
+            } else {
+                inputEnded = !received.keepAlive();
+            }
             addUnanswered(exchange);
             startRequests();
             updateReading();
@@ -343,88 +421,58 @@
                 reject(response);
             }
         }
-    }
 
-    /** A request of this connection whose response has not been written yet. */
-    private final class Exchange implements HttpExchange {
-        private final HttpRequestData request;
-        private final long receivedNanos;
-        private final Runnable releaseMemory;
-        private boolean keepAlive;
-        private Boolean overlapAllowed;
-        private boolean started;
-        private HttpResponseData response;
-        private Runnable disconnectAction = () -> {};
-        private volatile Runnable evictionAction = () -> {};
-        private volatile boolean evicted;
-        private boolean disconnected;
-
-        private Exchange(HttpRequestData request, long receivedNanos, Runnable releaseMemory) {
-            this.request = request;
-            this.receivedNanos = receivedNanos;
-            this.releaseMemory = releaseMemory;
+        @Override
+        public void roomChanged() {
+            if (!closing) {
+                updateReading();
+            }
         }
 
         @Override
-        public HttpRequestData request() {
-            return request;
+        public void streamEnded() {
+            inputEnded = !streaming.keepsAlive();
+            streaming = null;
+            updateReading();
         }
 
         @Override
-        public long millisSinceReceived() {
-            return (System.nanoTime() - receivedNanos) / 1_000_000;
+        public void streamFailed() {
+            inputEnded = true;
+            streaming.failBody();
+            streaming = null;
         }
+    }
 
+    /** What the exchanges of this connection need of it. */
+    private final class ExchangeConnection implements ServerExchange.Connection {
         @Override
-        public void respond(HttpResponseData responseData) {
-            channel.eventLoop().execute(() -> setResponse(this, responseData));
+        public void execute(Runnable action) {
+            channel.eventLoop().execute(action);
         }
 
         @Override
-        public void onDisconnect(Runnable action) {
-            channel.eventLoop().execute(() -> {
-                disconnectAction = action;
-                if (disconnected) {
-                    action.run();
-                }
-            });
+        public void close() {
+            channel.close();
         }
 
         @Override
-        public void onEviction(Runnable action) {
-            evictionAction = action;
-            if (evicted) {
-                channel.eventLoop().execute(action);
-            }
+        public boolean isUnanswered(ServerExchange exchange) {
+            return unanswered.contains(exchange);
         }
 
-        // A request that the handler hasn't received is refused here, any other by the handler.
-        private void evict() {
-            keepAlive = false;
-            evicted = true;
-            if (started) {
-                evictionAction.run();
-                return;
-            }
-            started = true;
-            setResponse(
-                    this,
-                    new HttpResponseData(
-                            HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
-                            RequestReceiver.MEMORY_SHORT_HEADERS,
-                            new byte[0]));
+        @Override
+        public boolean mayOverlap(HttpRequestData request) {
+            return server.rules().mayOverlap(request);
         }
 
-        private boolean mayOverlap() {
-            if (overlapAllowed == null) {
-                overlapAllowed = server.rules().mayOverlap(request);
+        @Override
+        public void responseSet(ServerExchange exchange) {
+            if (exchange.response() != null) {
+                unwrittenBytes.addWaiting(exchange.response());
             }
-            return overlapAllowed;
-        }
-
-        private void disconnect() {
-            disconnected = true;
-            disconnectAction.run();
+            writeResponses();
+            unwrittenBytes.update();
         }
     }
 }
--- a/engine/src/main/java/org/sardineshunt/engine/peer/AnswerValidator.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/AnswerValidator.java
@@ -1,9 +1,11 @@
 package org.sardineshunt.engine.peer;
 
+import java.util.List;
 import java.util.Optional;
 
 import io.netty.handler.codec.http.HttpHeaderValidationUtil;
 import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.engine.protocol.EngineMessages.AnswerHead;
 import org.sardineshunt.engine.protocol.EngineMessages.AnswerOrBuilder;
 import org.sardineshunt.engine.protocol.EngineMessages.Header;
 
@@ -26,10 +28,19 @@
         if (verdict.get() != Verdict.RAN) {
             return Optional.empty();
         }
-        if (answer.getStatus() < MINIMUM_STATUS || answer.getStatus() > MAXIMUM_STATUS) {
-            return Optional.of("status " + answer.getStatus());
+        return findFault(answer.getStatus(), answer.getHeadersList());
+    }
+
+    /** Returns what makes the head of a streamed answer unusable; empty if it is valid. */
+    public static Optional<String> findFault(AnswerHead head) {
+        return findFault(head.getStatus(), head.getHeadersList());
+    }
+
+    private static Optional<String> findFault(int status, List<Header> headers) {
+        if (status < MINIMUM_STATUS || status > MAXIMUM_STATUS) {
+            return Optional.of("status " + status);
         }
-        return answer.getHeadersList().stream()
+        return headers.stream()
                 .filter(header -> !isValid(header))
                 .findFirst()
                 .map(header -> "header '" + header.getName() + "'");
--- a/engine/src/main/java/org/sardineshunt/engine/peer/PeerLink.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/PeerLink.java
@@ -10,6 +10,9 @@
 import io.vavr.control.Either;
 import org.sardineshunt.coordination.TimerService;
 import org.sardineshunt.coordination.membership.SilenceDetector;
+import org.sardineshunt.coordination.memory.MemoryBudget;
+import org.sardineshunt.engine.AttemptStreams;
+import org.sardineshunt.engine.http.BodyPipe;
 import org.sardineshunt.engine.protocol.EngineMessages.Answer;
 import org.sardineshunt.engine.protocol.EngineMessages.Cancel;
 import org.sardineshunt.engine.protocol.EngineMessages.Frame;
@@ -30,6 +33,7 @@
     private final PeerAddress address;
     private final Hello ownHello;
     private final TimerService timers;
+    private final MemoryBudget memory;
     private final Listener listener;
     private final SilenceDetector silence;
     private final Map<Long, PendingCall> pendingCalls = new HashMap<>();
@@ -40,10 +44,11 @@
     private long incarnation;
     private long lastCorrelation;
 
-    PeerLink(PeerAddress address, Hello ownHello, TimerService timers, Listener listener) {
+    PeerLink(PeerAddress address, Hello ownHello, TimerService timers, MemoryBudget memory, Listener listener) {
         this.address = address;
         this.ownHello = ownHello;
         this.timers = timers;
+        this.memory = memory;
         this.listener = listener;
         silence = new SilenceDetector(MAXIMUM_SILENCE_MILLIS, PING_AFTER_SILENCE_MILLIS, timers.nowMillis());
     }
@@ -63,12 +68,20 @@
      * @return an action that cancels the call, here and at the peer
      */
     Runnable call(Frame.Builder message, Consumer<Either<PeerFailure, Answer>> onResult) {
+        return call(message, AttemptStreams.NONE, onResult);
+    }
+
+    /** Sends a call whose request or response may be streamed. */
+    Runnable call(Frame.Builder message, AttemptStreams streams, Consumer<Either<PeerFailure, Answer>> onResult) {
         long correlation = ++lastCorrelation;
         if (pendingCalls.isEmpty()) {
             silence.restart(timers.nowMillis());
         }
-        pendingCalls.put(correlation, new PendingCall(onResult, channel != null));
-        if (!send(message.setCorrelation(correlation).build())) {
+        PendingCall call = new PendingCall(streams, onResult, channel != null);
+        pendingCalls.put(correlation, call);
+        if (send(message.setCorrelation(correlation).build())) {
+            streams.requestBody().ifPresent(body -> call.startBody(createSender(correlation, body.pipe())));
+        } else {
             failUnsent(correlation);
         }
         scheduleSilenceCheck();
@@ -101,8 +114,7 @@
         listener.closed(this, cause);
         List<PendingCall> failedCalls = List.copyOf(pendingCalls.values());
         pendingCalls.clear();
-        failedCalls.forEach(
-                call -> call.onResult().accept(Either.left(new PeerFailure(call.sent(), incarnation, cause))));
+        failedCalls.forEach(call -> call.fail(incarnation, cause));
     }
 
     @Override
@@ -116,7 +128,7 @@
         channel.send(Frame.newBuilder().setHello(ownHello).build());
         List<Frame> frames = List.copyOf(queuedFrames);
         queuedFrames.clear();
-        pendingCalls.replaceAll((correlation, call) -> new PendingCall(call.onResult(), true));
+        pendingCalls.values().forEach(PendingCall::markSent);
         frames.stream().filter(frame -> !channel.send(frame)).forEach(frame -> failUnsent(frame.getCorrelation()));
     }
 
@@ -134,11 +146,45 @@
             }
             PendingCall call = pendingCalls.remove(frame.getCorrelation());
             if (call != null) {
-                call.onResult().accept(Either.right(frame.getAnswer()));
+                call.complete(frame.getAnswer());
+            }
+        } else {
+            Optional.ofNullable(pendingCalls.get(frame.getCorrelation()))
+                    .ifPresent(call -> receiveStreamFrame(call, frame));
+        }
+    }
+
+    private void receiveStreamFrame(PendingCall call, Frame frame) {
+        long correlation = frame.getCorrelation();
+        if (frame.hasAnswerHead()) {
+            Optional<String> fault = AnswerValidator.findFault(frame.getAnswerHead());
+            if (fault.isPresent()) {
+                close("invalid answer of node '" + address.nodeId() + "': " + fault.get());
+                return;
             }
+            CreditSource source = new CreditSource(correlation, this::send, this::runSoon, () -> cancel(correlation));
+            call.startResponse(frame.getAnswerHead(), new BodyPipe(memory, source));
+        } else if (frame.hasBodyChunk()) {
+            call.receiveChunk(frame.getBodyChunk());
+        } else if (frame.hasBodyCredit()) {
+            call.addCredit(frame.getBodyCredit().getBytes());
         }
     }
 
+    private FrameBodySender createSender(long correlation, BodyPipe pipe) {
+        return new FrameBodySender(pipe, correlation, this::send, this::runSoon, end -> {
+            PendingCall call = end == FrameBodySender.End.SENT ? null : pendingCalls.remove(correlation);
+            if (call != null) {
+                sendCancel(correlation);
+                call.failBody(end);
+            }
+        });
+    }
+
+    private void runSoon(Runnable action) {
+        timers.after(0, action);
+    }
+
     @Override
     public void closed(FrameChannel source, String cause) {
         close(cause);
@@ -149,20 +195,26 @@
         timers.after(0, () -> {
             PendingCall call = pendingCalls.remove(correlation);
             if (call != null) {
-                call.onResult().accept(Either.left(new PeerFailure(false, incarnation, "memory is short")));
+                call.failUnsent(incarnation, "memory is short");
             }
         });
     }
 
     private void cancel(long correlation) {
-        if (pendingCalls.remove(correlation) != null) {
-            send(Frame.newBuilder()
-                    .setCorrelation(correlation)
-                    .setCancel(Cancel.getDefaultInstance())
-                    .build());
+        PendingCall call = pendingCalls.remove(correlation);
+        if (call != null) {
+            call.abandon("cancelled");
+            sendCancel(correlation);
         }
     }
 
+    private void sendCancel(long correlation) {
+        send(Frame.newBuilder()
+                .setCorrelation(correlation)
+                .setCancel(Cancel.getDefaultInstance())
+                .build());
+    }
+
     private void scheduleSilenceCheck() {
         if (!silenceCheckScheduled) {
             silenceCheckScheduled = true;
@@ -196,6 +248,4 @@
         /** Called once, when the link has closed. */
         void closed(PeerLink link, String cause);
     }
-
-    private record PendingCall(Consumer<Either<PeerFailure, Answer>> onResult, boolean sent) {}
 }
--- a/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/PeerNetwork.java
@@ -19,10 +19,8 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.vavr.control.Either;
-import org.sardineshunt.coordination.Reason;
-import org.sardineshunt.coordination.Verdict;
 import org.sardineshunt.coordination.memory.MemoryBudget;
-import org.sardineshunt.coordination.memory.MemoryBudget.Kind;
+import org.sardineshunt.engine.AttemptStreams;
 import org.sardineshunt.engine.ControlEventLoop;
 import org.sardineshunt.engine.EventLog;
 import org.sardineshunt.engine.protocol.EngineMessages.Answer;
@@ -55,12 +53,6 @@
     // instances that are gone for good cost no messages.
     private static final long PROBE_DURATION_MILLIS = 120_000;
 
-    // Ids, headers and bookkeeping of an attempt, besides its body.
-    private static final long BYTES_PER_ATTEMPT = 4_096;
-
-    private static final Answer MEMORY_SHORT = failure(Verdict.NOT_RUN, false);
-    private static final Answer ANSWER_LOST = failure(Verdict.MAY_HAVE_RUN, true);
-
     private final ControlEventLoop control;
     private final EventLog log;
     private final EventLoopGroup loops;
@@ -128,8 +120,9 @@
      * @param onResult called once, unless the attempt is cancelled
      * @return an action that cancels the attempt
      */
-    public Runnable attempt(PeerAddress home, Attempt attempt, Consumer<Either<PeerFailure, Answer>> onResult) {
-        return linkTo(home).call(Frame.newBuilder().setAttempt(attempt), onResult);
+    public Runnable attempt(
+            PeerAddress home, Attempt attempt, AttemptStreams streams, Consumer<Either<PeerFailure, Answer>> onResult) {
+        return linkTo(home).call(Frame.newBuilder().setAttempt(attempt), streams, onResult);
     }
 
     /**
@@ -183,20 +176,12 @@
         Set.copyOf(incomingChannels).forEach(FrameChannel::close);
     }
 
-    private static Answer failure(Verdict verdict, boolean offered) {
-        return Answer.newBuilder()
-                .setVerdict(verdict.ordinal())
-                .setReason(Reason.MEMORY_SHORT.label())
-                .setOffered(offered)
-                .build();
-    }
-
     private PeerLink linkTo(PeerAddress address) {
         PeerLink existing = links.get(address);
         if (existing != null && !existing.isClosed()) {
             return existing;
         }
-        PeerLink link = new PeerLink(address, ownHello, control, new LinkListener());
+        PeerLink link = new PeerLink(address, ownHello, control, memory, new LinkListener());
         links.put(address, link);
         new Bootstrap()
                 .group(loops)
@@ -303,7 +288,7 @@
     /** Handles the frames that other nodes send, on the control thread. */
     public interface FrameHandler {
         /** Runs an attempt of a node and returns an action that cancels it. */
-        Runnable attempt(String nodeId, Attempt attempt, Consumer<Answer> onAnswer);
+        Runnable attempt(String nodeId, Attempt attempt, AttemptStreams streams, Consumer<Answer> onAnswer);
 
         /** Reports how an attempt ended whose link was lost. */
         void inquire(Inquiry inquiry, Consumer<Answer> onAnswer);
@@ -329,7 +314,7 @@
 
     /** The server side of a connection from a peer. */
     private final class IncomingLink implements FrameChannel.Listener {
-        private final Map<Long, Runnable> cancellations = new HashMap<>();
+        private IncomingAttempts attempts;
         private String nodeId = "";
         private boolean open;
 
@@ -347,7 +332,14 @@
                 case HELLO -> acceptHello(channel, frame.getHello());
                 case PING -> channel.send(
                         Frame.newBuilder().setPong(Pong.getDefaultInstance()).build());
-                case ATTEMPT -> runAttempt(channel, correlation, frame.getAttempt());
+                case ATTEMPT -> attempts(channel)
+                        .run(
+                                correlation,
+                                frame.getAttempt(),
+                                (attempt, streams, onAnswer) -> handler.attempt(nodeId, attempt, streams, onAnswer));
+                case BODY_CHUNK -> attempts(channel).receiveChunk(correlation, frame.getBodyChunk());
+                case BODY_CREDIT -> attempts(channel)
+                        .addCredit(correlation, frame.getBodyCredit().getBytes());
                 case INQUIRY -> handler.inquire(frame.getInquiry(), answer -> reply(channel, correlation, answer));
                 case DEPARTURE -> reply(channel, correlation, handler.recordDeparture(nodeId, frame.getDeparture()));
                 case DEPARTURE_QUERY -> reply(channel, correlation, findDeparture(frame.getDepartureQuery()));
@@ -355,7 +347,7 @@
                         nodeId, frame.getTokenRequest(), answer -> reply(channel, correlation, answer));
                 case CONFIGURATION_QUERY -> reply(
                         channel, correlation, handler.findConfiguration(frame.getConfigurationQuery()));
-                case CANCEL -> cancel(correlation);
+                case CANCEL -> attempts(channel).cancel(correlation);
                 default -> handler.receiveOneWay(nodeId, frame);
             }
         }
@@ -366,24 +358,14 @@
             incomingChannels.remove(channel);
             // No one can receive these answers any more, so the attempts are cancelled. A home lets those finish that
             // may have run and must not be repeated; their entries inquire about them later.
-            List<Runnable> abandonedAttempts = List.copyOf(cancellations.values());
-            cancellations.clear();
-            abandonedAttempts.forEach(Runnable::run);
+            attempts(channel).cancelAll();
         }
 
-        private void runAttempt(FrameChannel channel, long correlation, Attempt attempt) {
-            MemoryBudget.Holder holder =
-                    memory.open(Kind.ATTEMPT, control.nowMillis(), () -> control.execute(() -> cancel(correlation)));
-            long bytes = BYTES_PER_ATTEMPT + attempt.getBody().size();
-            if (!holder.tryReserve(control.nowMillis(), bytes)) {
-                reply(channel, correlation, MEMORY_SHORT);
-                return;
+        private IncomingAttempts attempts(FrameChannel channel) {
+            if (attempts == null) {
+                attempts = new IncomingAttempts(control, memory, frame -> !open || channel.send(frame));
             }
-            holder.markReceived();
-            cancellations.put(correlation, handler.attempt(nodeId, attempt, answer -> {
-                holder.close();
-                control.execute(() -> reply(channel, correlation, answer));
-            }));
+            return attempts;
         }
 
         private void acceptHello(FrameChannel channel, Hello hello) {
@@ -408,18 +390,11 @@
         }
 
         private void reply(FrameChannel channel, long correlation, Answer answer) {
-            cancellations.remove(correlation);
-            Frame.Builder frame = Frame.newBuilder().setCorrelation(correlation);
-            if (open && !channel.send(frame.setAnswer(answer).build())) {
-                // Without its body, the answer says that the request has run but not how it ended.
-                channel.send(frame.setAnswer(ANSWER_LOST).build());
-            }
-        }
-
-        private void cancel(long correlation) {
-            Runnable cancellation = cancellations.remove(correlation);
-            if (cancellation != null) {
-                cancellation.run();
+            if (open) {
+                channel.send(Frame.newBuilder()
+                        .setCorrelation(correlation)
+                        .setAnswer(answer)
+                        .build());
             }
         }
     }
--- a/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
@@ -148,6 +148,10 @@
                 CallerLimits.DEFAULT);
     }
 
+    int size() {
+        return engines.size();
+    }
+
     int callerPort(int index) {
         return callerPorts.get(index);
     }
--- a/engine/src/test/java/org/sardineshunt/engine/backendserver/UpstreamQueueTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/backendserver/UpstreamQueueTest.java
@@ -7,6 +7,7 @@
 import org.sardineshunt.coordination.idempotency.AttemptId;
 import org.sardineshunt.coordination.limit.AdmissionQueue;
 import org.sardineshunt.coordination.limit.WorkItem;
+import org.sardineshunt.engine.AttemptStreams;
 import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -54,6 +55,6 @@
                 .setLeftMillis((int) (fromRunningRequest ? CALL_LEFT_MILLIS : NEW_WORK_LEFT_MILLIS))
                 .build();
         return UpstreamQueue.toWorkItem(
-                new PendingAttempt(attempt, new AttemptId("entry", 1, 1), 0, answer -> {}), 100);
+                new PendingAttempt(attempt, new AttemptId("entry", 1, 1), 0, AttemptStreams.NONE, answer -> {}), 100);
     }
 }
--- a/engine/src/test/java/org/sardineshunt/engine/http/ServerConnectionTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/http/ServerConnectionTest.java
@@ -166,7 +166,7 @@
     @Test
     void refusesTheLargestIncompleteBodyIfMemoryIsShort() {
         MemoryBudget memory = new MemoryBudget(100_000, (kind, bytes, idleMillis) -> {});
-        ServerResources resources = new ServerResources(memory, 10, () -> {});
+        ServerResources resources = new ServerResources(memory, 10, open -> {});
         CallerLimits limits = new CallerLimits(4_096, 1 << 20, 3_000, 15_000);
         HttpServer limited = new HttpServer(() -> limits, request -> false, resources, started::add);
         EmbeddedChannel large = open(limited);
@@ -180,7 +180,7 @@
     @Test
     void releasesTheMemoryOfAnsweredRequestsAndClosedConnections() {
         MemoryBudget memory = new MemoryBudget(1 << 20, (kind, bytes, idleMillis) -> {});
-        ServerResources resources = new ServerResources(memory, 10, () -> {});
+        ServerResources resources = new ServerResources(memory, 10, open -> {});
         HttpServer limited = new HttpServer(() -> LIMITS, request -> true, resources, started::add);
         EmbeddedChannel answered = open(limited);
         EmbeddedChannel closed = open(limited);
@@ -197,7 +197,7 @@
 
     @Test
     void closesTheConnectionThatHasBeenIdleLongestAtTheLimit() {
-        ServerResources resources = new ServerResources(MemoryBudget.unlimited(), 2, () -> {});
+        ServerResources resources = new ServerResources(MemoryBudget.unlimited(), 2, open -> {});
         HttpServer limited = new HttpServer(() -> LIMITS, request -> true, resources, started::add);
         EmbeddedChannel busy = open(limited);
         EmbeddedChannel idle = open(limited);
--- a/engine/src/test/java/org/sardineshunt/engine/peer/PeerLinkTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/peer/PeerLinkTest.java
@@ -6,6 +6,7 @@
 import io.vavr.control.Either;
 import org.junit.jupiter.api.Test;
 import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.coordination.memory.MemoryBudget;
 import org.sardineshunt.engine.ManualTimerService;
 import org.sardineshunt.engine.protocol.EngineMessages.Answer;
 import org.sardineshunt.engine.protocol.EngineMessages.Attempt;
@@ -26,7 +27,11 @@
     private final List<String> closures = new ArrayList<>();
     private final List<Either<PeerFailure, Answer>> results = new ArrayList<>();
     private final PeerLink link = new PeerLink(
-            new PeerAddress("home", "127.0.0.1", 1), Hello.getDefaultInstance(), timers, new PeerLink.Listener() {
+            new PeerAddress("home", "127.0.0.1", 1),
+            Hello.getDefaultInstance(),
+            timers,
+            MemoryBudget.unlimited(),
+            new PeerLink.Listener() {
                 @Override
                 public void helloReceived(PeerLink source, String nodeId) {}
 
