Serve client accounts in turn while work waits for an upstream

An account that sent ten times its usual load took the slots of all others of its rank: they were refused as often as that account itself.

Within a rank the admission queue now serves accounts in turn (start-time fair queueing by expected service time); within an account the order is unchanged. The expected wait of arriving work counts other accounts only as far as their turns come first, and the growth of the wait of late work follows its own account's load, or the flood's load would refuse the others' work. A full queue gives up work of the account with the most of it. OnTimeLoads holds what AdmissionQueue kept itself, by account. Work without an account is one account, so the order without accounts is that of before.

--- a/coordination/src/main/java/org/sardineshunt/coordination/limit/AdmissionQueue.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/limit/AdmissionQueue.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.LinkedHashMap;
@@ -9,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import io.vavr.control.Either;
@@ -28,6 +30,9 @@
  * comes after work that can. While a rank has work waiting, each start earns it its guaranteed share of a start, and it
  * is served once it has earned a complete one, so a flood in another rank can't starve it.
  *
+ * <p>Within a rank, accounts are served in turn, so that one which sends much more than usual delays the others little;
+ * the order above holds within each account. Work without an account counts as one account.
+ *
  * <p>Work whose expected wait plus expected service time passes its deadline is refused immediately instead of after
  * the wait. Work that will be late gets the capacity that on-time work leaves, both the work that waits and the work
  * that arrives meanwhile, so in a lasting overload it is refused immediately too, and the slots go to work that ends on
@@ -49,10 +54,6 @@
     // Late work must have this multiple of its expected service time left before its deadline after the expected wait.
     private static final double LATE_SERVICE_FACTOR = 1.5;
 
-    // Time constant with which the load of on-time work that had to wait decays. A longer one recognises an overload
-    // later, so that more work is refused only after its target.
-    private static final double ON_TIME_LOAD_WINDOW_MILLIS = 1_500;
-
     // How much the expected wait of arriving work is corrected for each waiting work that turned late, and that started
     // on time. Service times grow while an upstream is full, which the mean of finished work shows too late.
     private static final double LATE_CORRECTION_FACTOR = 1.15;
@@ -65,6 +66,7 @@
     private final Map<String, Rank> ranks;
     private final Map<String, Deque<WorkItem<T>>> queues = new LinkedHashMap<>();
     private final Map<String, Double> credits = new LinkedHashMap<>();
+    private final Map<String, AccountTurns> turns = new LinkedHashMap<>();
     private final int queueLimit;
     private final boolean refuseWithoutSlack;
     private String urgentRank = "";
@@ -72,7 +74,8 @@
     private int inFlight;
     private double meanServiceMillis;
     private double waitCorrection = 1;
-    private final Map<String, OnTimeLoad> onTimeLoads = new LinkedHashMap<>();
+
+    private final Map<String, OnTimeLoads> onTimeLoads = new LinkedHashMap<>();
 
     private AdmissionQueue(Builder<T> builder) {
         ranks = new LinkedHashMap<>();
@@ -80,8 +83,9 @@
                 .sorted(Comparator.comparingInt(Rank::order))
                 .forEach(rank -> ranks.put(rank.name(), rank));
         ranks.keySet().forEach(name -> queues.put(name, new ArrayDeque<>()));
+        ranks.keySet().forEach(name -> turns.put(name, new AccountTurns()));
         ranks.keySet().forEach(name -> credits.put(name, 0.0));
-        ranks.keySet().forEach(name -> onTimeLoads.put(name, OnTimeLoad.NONE));
+        ranks.keySet().forEach(name -> onTimeLoads.put(name, new OnTimeLoads()));
         queueLimit = builder.queueLimit;
         refuseWithoutSlack = builder.refuseWithoutSlack;
         concurrencyLimit = builder.slots;
@@ -93,6 +97,29 @@
         return new Builder<>();
     }
 
+    /**
+     * Removes and returns waiting work of another account that must be refused so that this work can be offered to a
+     * full queue: the least urgent work of the account that has most work waiting. Empty if there is room, or if the
+     * work's own account has most or it would be refused in any case.
+     */
+    public Optional<WorkItem<T>> makeRoom(long nowMillis, WorkItem<T> item) {
+        Deque<WorkItem<T>> queue = queues.get(item.rank());
+        if (queue == null || queue.size() < queueLimit || item.deadlineMillis() <= nowMillis) {
+            return Optional.empty();
+        }
+        Map<String, Long> counts =
+                queue.stream().collect(Collectors.groupingBy(WorkItem::account, Collectors.counting()));
+        long most = Collections.max(counts.values());
+        if (counts.getOrDefault(item.account(), 0L) == most || refuseWithoutSlack && lacksSlack(nowMillis, item)) {
+            return Optional.empty();
+        }
+        Optional<WorkItem<T>> displaced = queue.stream()
+                .filter(waiting -> counts.get(waiting.account()) == most)
+                .max(startOrder(nowMillis));
+        displaced.ifPresent(queue::remove);
+        return displaced;
+    }
+
     /**
      * Offers work: it takes a free slot, waits or is refused.
      *
@@ -108,6 +135,7 @@
         }
         if (inFlight < concurrencyLimit && queued() == 0) {
             inFlight++;
+            recordTurn(item);
             return Either.right(true);
         }
         if (queue.size() >= queueLimit) {
@@ -117,7 +145,7 @@
             return Either.left(Reason.DEADLINE_SLACK);
         }
         if (isExpectedOnTime(nowMillis, item, itemWaitMillis(nowMillis, item))) {
-            recordOnTimeLoad(nowMillis, item);
+            onTimeLoads.get(item.rank()).record(nowMillis, item.account(), expectedServiceMillis(item));
         }
         queue.add(item);
         return Either.right(false);
@@ -257,30 +285,63 @@
         return nowMillis + waitMillis + allowance * expectedServiceMillis(item) <= item.dueMillis();
     }
 
-    // On-time work of its own and of higher ranks that arrives while late work waits goes before it, so the wait grows
-    // with the load of that work.
+    // On-time work of higher ranks, and of its own account and rank, that arrives while late work waits goes before it,
+    // so the wait grows with the load of that work. An account has its part of the slots that its rank has.
     private boolean isExpectedToMissDeadline(long nowMillis, WorkItem<T> item, double waitMillis) {
         Rank itemRank = ranks.get(item.rank());
-        double loadMillis = Stream.concat(ranksInOrder().takeWhile(rank -> rank != itemRank), Stream.of(itemRank))
-                .mapToDouble(rank -> onTimeLoads.get(rank.name()).decayedMillis(nowMillis))
+        double higherRanksMillis = ranksInOrder()
+                .takeWhile(rank -> rank != itemRank)
+                .mapToDouble(rank -> onTimeLoads.get(rank.name()).total(nowMillis))
                 .sum();
-        double utilization = loadMillis / ON_TIME_LOAD_WINDOW_MILLIS / Math.max(1, concurrencyLimit);
+        double accountMillis = onTimeLoads.get(item.rank()).of(nowMillis, item.account());
+        double loadMillis = higherRanksMillis + accountMillis * waitingAccounts(item);
+        double utilization = loadMillis / OnTimeLoads.WINDOW_MILLIS / Math.max(1, concurrencyLimit);
         double growth = 1 / Math.max(1 / MAXIMUM_WAIT_GROWTH, 1 - utilization);
         return waitMillis * growth + LATE_SERVICE_FACTOR * expectedServiceMillis(item)
                 > item.deadlineMillis() - nowMillis;
     }
 
-    private void recordOnTimeLoad(long nowMillis, WorkItem<T> item) {
-        double serviceMillis = expectedServiceMillis(item);
-        onTimeLoads.computeIfPresent(item.rank(), (name, load) -> load.plus(nowMillis, serviceMillis));
+    private long waitingAccounts(WorkItem<T> item) {
+        return Stream.concat(Stream.of(item), queues.get(item.rank()).stream())
+                .map(WorkItem::account)
+                .distinct()
+                .count();
     }
 
     private double itemWaitMillis(long nowMillis, WorkItem<T> item) {
         double aheadMillis = queues.get(item.rank()).stream()
+                .filter(waiting -> waiting.account().equals(item.account()))
                 .filter(waiting -> waiting != item && startOrder(nowMillis).compare(waiting, item) <= 0)
                 .mapToDouble(this::expectedServiceMillis)
                 .sum();
-        return expectedWaitMillis(item.rank(), aheadMillis);
+        return expectedWaitMillis(item.rank(), aheadMillis + otherAccountsMillis(nowMillis, item, aheadMillis));
+    }
+
+    // The work of other accounts that has its turn before an item with this much work of its own account ahead.
+    private double otherAccountsMillis(long nowMillis, WorkItem<T> item, double ownMillis) {
+        Map<String, List<WorkItem<T>>> others = queues.get(item.rank()).stream()
+                .filter(waiting -> !waiting.account().equals(item.account()))
+                .collect(Collectors.groupingBy(WorkItem::account));
+        double itemTag = turns.get(item.rank()).startTag(item.account()) + ownMillis;
+        return others.entrySet().stream()
+                .mapToDouble(other -> {
+                    double leadMillis = itemTag - turns.get(item.rank()).startTag(other.getKey());
+                    boolean first = leadMillis > 0
+                            || leadMillis == 0
+                                    && other.getValue().stream()
+                                            .anyMatch(waiting ->
+                                                    startOrder(nowMillis).compare(waiting, item) <= 0);
+                    double allMillis = other.getValue().stream()
+                            .mapToDouble(this::expectedServiceMillis)
+                            .sum();
+                    double oneMillis = allMillis / other.getValue().size();
+                    return first ? Math.min(allMillis, Math.max(oneMillis, leadMillis)) : 0;
+                })
+                .sum();
+    }
+
+    private void recordTurn(WorkItem<T> item) {
+        turns.get(item.rank()).recordStart(item.account(), expectedServiceMillis(item));
     }
 
     private boolean canMeetDeadline(long nowMillis, WorkItem<T> item) {
@@ -321,8 +382,11 @@
         credits.computeIfPresent(chosen.name(), (name, credit) -> Math.max(0, credit - 1));
         Optional<WorkItem<T>> next = queues.get(chosen.name()).stream()
                 .filter(item -> canMeetDeadline(nowMillis, item))
-                .min(startOrder(nowMillis));
+                .min(Comparator.comparingDouble(
+                                (WorkItem<T> item) -> turns.get(item.rank()).startTag(item.account()))
+                        .thenComparing(startOrder(nowMillis)));
         next.ifPresent(queues.get(chosen.name())::remove);
+        next.ifPresent(this::recordTurn);
         return next;
     }
 
@@ -345,24 +409,6 @@
                         .thenComparingInt(Rank::order));
     }
 
-    /**
-     * On-time work of a rank that had to wait recently.
-     *
-     * @param millis its expected service time, which decays with time
-     * @param updatedAtMillis time of the last addition
-     */
-    private record OnTimeLoad(double millis, long updatedAtMillis) {
-        private static final OnTimeLoad NONE = new OnTimeLoad(0, 0);
-
-        double decayedMillis(long nowMillis) {
-            return millis * Math.exp((updatedAtMillis - nowMillis) / ON_TIME_LOAD_WINDOW_MILLIS);
-        }
-
-        OnTimeLoad plus(long nowMillis, double serviceMillis) {
-            return new OnTimeLoad(decayedMillis(nowMillis) + serviceMillis, nowMillis);
-        }
-    }
-
     /**
      * Builds an {@link AdmissionQueue}. Not thread-safe.
      *
--- a/coordination/src/test/java/org/sardineshunt/coordination/limit/PlayedLoad.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/limit/PlayedLoad.java
@@ -68,10 +68,12 @@
         WorkItem<Work> item = new WorkItem<>(
                 "item-" + ++lastOrder,
                 work.rank(),
+                work.account(),
                 now + work.deadlineMillis(),
                 now + work.targetMillis(),
                 work.serviceMillis(),
                 work);
+        queue.makeRoom(now, item).ifPresent(displaced -> results.get(displaced.payload()).refusedAfterWait++);
         queue.offer(now, item)
                 .peekLeft(reason -> results.get(work).refusedAtOnce++)
                 .peek(started -> {
@@ -103,7 +105,17 @@
     }
 
     /** A kind of work. */
-    record Work(String rank, double serviceMillis, long targetMillis, long deadlineMillis, double perSecond) {}
+    record Work(
+            String rank,
+            String account,
+            double serviceMillis,
+            long targetMillis,
+            long deadlineMillis,
+            double perSecond) {
+        Work(String rank, double serviceMillis, long targetMillis, long deadlineMillis, double perSecond) {
+            this(rank, "", serviceMillis, targetMillis, deadlineMillis, perSecond);
+        }
+    }
 
     /** What became of one kind of work. */
     static final class Result {
@@ -121,6 +133,10 @@
             return (double) refusedAtOnce / (refusedAtOnce + refusedAfterWait);
         }
 
+        double servedShare() {
+            return (double) ended / arrived;
+        }
+
         double onTimeShareOfEnded() {
             return (double) onTime / ended;
         }
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
@@ -175,6 +175,7 @@
         updateConcurrencyLimit(now);
         double serviceMillis = monitor.expectedServiceMillis(attempt.getRoute());
         WorkItem<PendingAttempt> item = UpstreamQueue.toWorkItem(pending, serviceMillis);
+        queue.makeRoom(now, item).ifPresent(displaced -> refuse(displaced.payload(), Reason.QUEUE_FULL));
         Either<Reason, Boolean> startedNow = queue.offer(now, item);
         if (startedNow.isLeft()) {
             refuse(pending, startedNow.getLeft());
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamQueue.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamQueue.java
@@ -68,6 +68,7 @@
         return new WorkItem<>(
                 pending.queueId(),
                 rankName(attempt.getRank(), attempt.getFromRunningRequest()),
+                attempt.getAccount(),
                 deadlineMillis,
                 dueMillis,
                 expectedServiceMillis,
