Ask for tokens earlier, and read and look up keys at less cost

Played with 60 requests a second of an account through two nodes, 36% of its requests waited for a round trip to the owner: entries asked for too few tokens in advance. They now ask for the need of 300 ms less half a standard deviation instead of 250 ms less 1.5; 4% wait, with one message to four requests (447 of 1784), and the bounds of AccountLimitTest hold as before. The new test fails with the old figures (651 of 1784 waited, limit 10%).

An assertion that couldn't fail is gone from EngineAccountTest, and a test removes a key while its connection is open.

Tests run: EngineAccountTest, AccountTokensTest, AccountLimitTest, AccountDirectoryTest, CallerAuthorizationTest, ConfigurationDecoderTest, PlatformNamesTest: all pass.

--- a/coordination/src/main/java/org/sardineshunt/coordination/account/AccountDirectory.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/account/AccountDirectory.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * The client accounts of one version of the configuration, by key and by name. Immutable and thread-safe.
@@ -18,6 +20,7 @@
 public final class AccountDirectory {
     private final Map<KeyDigest, ClientAccount> accountsByKey = new HashMap<>();
     private final Map<String, ClientAccount> accountsByName = new HashMap<>();
+    private final Map<String, Set<Long>> fingerprintsByName;
 
     /** Creates a directory. */
     public AccountDirectory(List<ClientAccount> accounts) {
@@ -25,6 +28,10 @@
             accountsByName.putIfAbsent(account.name(), account);
             account.keys().forEach(key -> accountsByKey.putIfAbsent(key, account));
         });
+        fingerprintsByName = accountsByKey.entrySet().stream()
+                .collect(Collectors.groupingBy(
+                        entry -> entry.getValue().name(),
+                        Collectors.mapping(entry -> entry.getKey().fingerprint(), Collectors.toSet())));
     }
 
     /** Returns the account that a key belongs to. */
@@ -39,9 +46,7 @@
 
     /** Returns whether a key with the fingerprint belongs to the account with the name. */
     public boolean isKeyOf(String accountName, long keyFingerprint) {
-        return accountsByKey.entrySet().stream()
-                .anyMatch(entry -> entry.getKey().fingerprint() == keyFingerprint
-                        && entry.getValue().name().equals(accountName));
+        return fingerprintsByName.getOrDefault(accountName, Set.of()).contains(keyFingerprint);
     }
 
     /** Returns how many accounts there are. */
--- a/coordination/src/main/java/org/sardineshunt/coordination/account/TokenWallet.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/account/TokenWallet.java
@@ -6,8 +6,8 @@
 /**
  * The tokens of one client account that were granted to this node, and how many it should ask for. Not thread-safe.
  *
- * <p>Tokens expire, so the owner need not know what became of them. A node asks in advance only for what it is nearly
- * sure to use, because tokens that expire are lost to the other nodes.
+ * <p>Tokens expire, so the owner need not know what became of them. A node asks in advance only for what it is
+ * likely to use, because tokens that expire are lost to the other nodes.
  */
 final class TokenWallet {
     /** How long after the node asked for it a token may be used. */
@@ -16,10 +16,10 @@
     private static final double DEMAND_WINDOW_MILLIS = 1_000;
 
     // Part of a token's lifetime in which it should be used: the answer takes a part of the rest.
-    private static final double ADVANCE_SECONDS = 0.25;
+    private static final double ADVANCE_SECONDS = 0.3;
 
     // Standard deviations by which the demand may stay below the expected one without leaving tokens unused.
-    private static final double ADVANCE_DEVIATIONS = 1.5;
+    private static final double ADVANCE_DEVIATIONS = 0.5;
 
     private final Deque<Held> held = new ArrayDeque<>();
     private double demand;
--- a/coordination/src/test/java/org/sardineshunt/coordination/account/AccountLimitTest.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/account/AccountLimitTest.java
@@ -10,6 +10,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
 import org.sardineshunt.coordination.limit.AccountLimiter;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -70,6 +71,17 @@
         assertThat((double) played.refusals.size(), lessThanOrEqualTo(0.02 * requests));
     }
 
+    /** A round trip for each request would add up to 40 ms to each request of a busy account. */
+    @Test
+    void fewRequestsOfABusyAccountWaitForTokens() {
+        PlayedAccount played = new PlayedAccount(17, 76, BOUNDS, account(75, 75));
+        played.sendAtRandom(0, DURATION_MILLIS, 0.8 * 75, at -> true, 0, 1);
+        played.play(DURATION_MILLIS + 1_000);
+        int admitted = played.admittedAtMillis.size();
+        assertThat((double) played.waited, lessThanOrEqualTo(0.1 * admitted));
+        assertThat((double) played.messages, lessThanOrEqualTo(0.5 * admitted));
+    }
+
     private void demand(PlayedAccount played, Random random, int size, int rate) {
         long millis = 0;
         while (millis < DURATION_MILLIS) {
--- a/coordination/src/test/java/org/sardineshunt/coordination/account/PlayedAccount.java
+++ b/coordination/src/test/java/org/sardineshunt/coordination/account/PlayedAccount.java
@@ -24,6 +24,7 @@
     final List<Long> admittedAtMillis = new ArrayList<>();
     final List<AccountAdmission.Decision> refusals = new ArrayList<>();
     int messages;
+    int waited;
     private final Random random;
     private final LimitBounds bounds;
     private final PriorityQueue<Event> events =
@@ -135,8 +136,12 @@
 
         void receiveRequest() {
             if (running && suspendedUntilMillis <= nowMillis) {
+                long receivedMillis = nowMillis;
                 admission.admit(account, decision -> decision.refusal()
-                        .ifPresentOrElse(reason -> refusals.add(decision), () -> admittedAtMillis.add(nowMillis)));
+                        .ifPresentOrElse(reason -> refusals.add(decision), () -> {
+                            admittedAtMillis.add(nowMillis);
+                            waited += nowMillis > receivedMillis ? 1 : 0;
+                        }));
             }
         }
 
--- a/engine/src/main/java/org/sardineshunt/engine/caller/CallerAuthorization.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/CallerAuthorization.java
@@ -94,7 +94,7 @@
         Optional<ClientAccount> account = inForce.accounts().flatMap(accounts -> accounts.find(digest));
         return account.isPresent()
                 ? Either.right(new AuthorizedRequest(inForce, route, account, digest.fingerprint(), Optional.empty()))
-                : refuse(Reason.KEY_UNKNOWN, 0, true, "key " + Long.toHexString(digest.fingerprint()));
+                : refuse(Reason.KEY_UNKNOWN, 0, true, "unknown key");
     }
 
     // Upstreams call without a key. Whoever knows the ID of a running request can do so, too, but not often.
--- a/engine/src/main/java/org/sardineshunt/engine/platform/ConfigurationTracker.java
+++ b/engine/src/main/java/org/sardineshunt/engine/platform/ConfigurationTracker.java
@@ -1,6 +1,7 @@
 package org.sardineshunt.engine.platform;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -174,10 +175,22 @@
         boolean confirmed = isConfirmed();
         List<Consumer<Boolean>> waiting = List.copyOf(waitingForRead);
         waitingForRead.clear();
-        waiting.forEach(onResult -> onResult.accept(confirmed));
+        waiting.forEach(onResult -> notifyOf(confirmed, onResult));
+    }
+
+    // A request that waits has no deadline timer yet, so that the failure of another one must not leave it unanswered.
+    private void notifyOf(boolean confirmed, Consumer<Boolean> onResult) {
+        try {
+            onResult.accept(confirmed);
+        } catch (RuntimeException failure) {
+            log.event("internal-error").with("failure", failure.toString()).write();
+        }
     }
 
     private boolean decodeAndAdopt(String origin, byte[] received) {
+        if (encoded.length > 0 && Arrays.equals(received, encoded)) {
+            return true;
+        }
         Either<String, FleetConfiguration> decoded = source.decode(received);
         decoded.peek(newer -> adopt(newer, received)).peekLeft(cause -> logFailure(origin, cause));
         return decoded.isRight();
--- a/engine/src/test/java/org/sardineshunt/engine/EngineAccountTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineAccountTest.java
@@ -1,8 +1,12 @@
 package org.sardineshunt.engine;
 
 import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.AfterEach;
@@ -19,7 +23,6 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
-import static org.hamcrest.Matchers.not;
 import static org.sardineshunt.engine.caller.AccountConfigurations.KEYED_PATH;
 import static org.sardineshunt.engine.caller.AccountConfigurations.PUBLIC_PATH;
 
@@ -91,6 +94,17 @@
         assertThat(statusOf(0, KEYED_PATH, "other"), is(200));
     }
 
+    /** Callers keep connections for hours, so a check at their start would leave a removed key in use. */
+    @Test
+    void refusesARemovedKeyOnAnOpenConnection() throws IOException {
+        configureAll(AccountConfigurations.withKeys(2, KEY));
+        try (Socket socket = new Socket("127.0.0.1", fleet.callerPort(0))) {
+            assertThat(statusLine(socket), is("HTTP/1.1 200 OK"));
+            configureAll(AccountConfigurations.withKeys(3, "other"));
+            assertThat(statusLine(socket), is("HTTP/1.1 401 Unauthorized"));
+        }
+    }
+
     /** The node where the request enters may not know yet that the key was removed. */
     @Test
     void homeRefusesAKeyThatItsNewerConfigurationHasRemoved() {
@@ -150,7 +164,6 @@
                 .filter(request -> request.header("X-Request").orElse("").endsWith("/call"))
                 .findFirst();
         assertThat(call.orElseThrow().header("X-Account"), is(Optional.empty()));
-        assertThat(call, is(not(Optional.empty())));
     }
 
     /** An account that used each node's own limit would get its burst at every node. */
@@ -233,6 +246,20 @@
                 .toList();
     }
 
+    // Sends a request and reads its whole response, whose body has a length.
+    private static String statusLine(Socket socket) throws IOException {
+        String request = "GET " + KEYED_PATH + " HTTP/1.1\r\nHost: h\r\nX-Request: open\r\nAuthorization: Bearer " + KEY
+                + "\r\n\r\n";
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            head.append((char) socket.getInputStream().read());
+        }
+        Matcher length = Pattern.compile("(?i)content-length: *([0-9]+)").matcher(head);
+        socket.getInputStream().readNBytes(length.find() ? Integer.parseInt(length.group(1)) : 0);
+        return head.substring(0, head.indexOf("\r\n"));
+    }
+
     private static Header header(String name, String value) {
         return Header.newBuilder().setName(name).setValue(value).build();
     }
