Describe client accounts, and count and log by account

Operators could not see which account is served or refused, nor when another node grants its tokens.

Metrics account_requests and account_refusals show the 20 busiest accounts and the sum of the rest, so they don't grow with the configuration.

--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -199,6 +199,7 @@
                 control,
                 settings.nodeId(),
                 homeClient,
+                log,
                 configuration,
                 settings.accountBounds().toLimitBounds(),
                 random);
--- a/engine/src/main/java/org/sardineshunt/engine/MetricRegistry.java
+++ b/engine/src/main/java/org/sardineshunt/engine/MetricRegistry.java
@@ -1,9 +1,12 @@
 package org.sardineshunt.engine;
 
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /** Counters and latency histograms of an engine, each identified by a name and the value of its label. Thread-safe. */
 public final class MetricRegistry {
@@ -11,7 +14,14 @@
         5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000, 30_000
     };
 
+    private static final int MAXIMUM_ACCOUNT_LABELS = 20;
+
+    // Accounts come and go with the configuration, and each counter costs memory until the process ends.
+    private static final int MAXIMUM_ACCOUNT_COUNTERS = 4_096;
+    private static final String OTHER_ACCOUNTS = "other";
+
     private final Map<Key, LongAdder> counts = new ConcurrentHashMap<>();
+    private final Map<Key, LongAdder> accountCounts = new ConcurrentHashMap<>();
     private final Map<Key, LongAdder[]> histograms = new ConcurrentHashMap<>();
 
     /** Increments a counter, which starts at 0. */
@@ -19,6 +29,17 @@
         counts.computeIfAbsent(new Key(name, label), key -> new LongAdder()).increment();
     }
 
+    /** Increments a counter of a client account. Only the largest are shown by account, see {@link #counts}. */
+    public void countForAccount(String name, String account) {
+        Key key = new Key(name, account);
+        LongAdder adder = accountCounts.get(key);
+        if (adder == null) {
+            Key bounded = accountCounts.size() < MAXIMUM_ACCOUNT_COUNTERS ? key : new Key(name, OTHER_ACCOUNTS);
+            adder = accountCounts.computeIfAbsent(bounded, added -> new LongAdder());
+        }
+        adder.increment();
+    }
+
     /** Adds a duration to a histogram. */
     public void observe(String name, String label, long durationMillis) {
         LongAdder[] buckets = histograms.computeIfAbsent(new Key(name, label), key -> newBuckets());
@@ -36,10 +57,22 @@
         return adder == null ? 0 : adder.sum();
     }
 
-    /** Returns the values of all counters, sorted by name and label. */
+    /**
+     * Returns the values of all counters, sorted by name and label. Of the counters of client accounts, the 20 largest
+     * of each name have a label of their own; the others are summed.
+     */
     Map<Key, Long> counts() {
         Map<Key, Long> sorted = new TreeMap<>();
         counts.forEach((key, adder) -> sorted.put(key, adder.sum()));
+        Map<String, List<Map.Entry<Key, Long>>> byName = accountCounts.entrySet().stream()
+                .map(entry -> Map.entry(entry.getKey(), entry.getValue().sum()))
+                .sorted(Map.Entry.<Key, Long>comparingByValue().reversed().thenComparing(Map.Entry.comparingByKey()))
+                .collect(Collectors.groupingBy(entry -> entry.getKey().name()));
+        byName.forEach((name, entries) -> IntStream.range(0, entries.size())
+                .forEach(index -> sorted.merge(
+                        index < MAXIMUM_ACCOUNT_LABELS ? entries.get(index).getKey() : new Key(name, OTHER_ACCOUNTS),
+                        entries.get(index).getValue(),
+                        Long::sum)));
         return sorted;
     }
 
--- a/engine/src/main/java/org/sardineshunt/engine/caller/AccountTokens.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/AccountTokens.java
@@ -1,10 +1,12 @@
 package org.sardineshunt.engine.caller;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import org.sardineshunt.coordination.Reason;
@@ -16,6 +18,7 @@
 import org.sardineshunt.coordination.account.TokenBucketOwner;
 import org.sardineshunt.coordination.account.TokenGrant;
 import org.sardineshunt.coordination.route.FleetConfiguration;
+import org.sardineshunt.engine.EventLog;
 import org.sardineshunt.engine.peer.KnownNode;
 import org.sardineshunt.engine.platform.ConfigurationTracker;
 import org.sardineshunt.engine.protocol.EngineMessages.Answer;
@@ -36,23 +39,27 @@
     private final TimerService timers;
     private final String ownId;
     private final NodeCalls nodes;
+    private final EventLog log;
     private final ConfigurationTracker configuration;
     private final AccountOwnership ownership;
     private final TokenBucketOwner owner;
     private final OwnerReachability reachability;
     private final Map<String, Long> noRelayUntilMillis = new HashMap<>();
+    private final Set<String> takenOver = new HashSet<>();
 
     /** Creates a source whose node owns no account yet. */
     public AccountTokens(
             TimerService timers,
             String ownId,
             NodeCalls nodes,
+            EventLog log,
             ConfigurationTracker configuration,
             LimitBounds bounds,
             Random random) {
         this.timers = timers;
         this.ownId = ownId;
         this.nodes = nodes;
+        this.log = log;
         this.configuration = configuration;
         ownership = new AccountOwnership(ownId);
         owner = new TokenBucketOwner(timers.nowMillis(), bounds);
@@ -128,7 +135,7 @@
         }
         Optional<String> relay = relay(account.name(), lostOwner.get());
         if (relay.isEmpty()) {
-            onAnswer.accept(grant(account, tokens, reachability.confirmedShare()));
+            onAnswer.accept(grantInstead(lostOwner.get(), account, tokens));
             return;
         }
         // Another node may still reach the owner; then there is no second one.
@@ -138,10 +145,22 @@
             if (granted.isEmpty()) {
                 noRelayUntilMillis.put(account.name(), timers.nowMillis() + RELAY_PAUSE_MILLIS);
             }
-            onAnswer.accept(granted.orElseGet(() -> grant(account, tokens, reachability.confirmedShare())));
+            onAnswer.accept(granted.orElseGet(() -> grantInstead(lostOwner.get(), account, tokens)));
         });
     }
 
+    private Answer grantInstead(KnownNode lostOwner, ClientAccount account, int tokens) {
+        double share = reachability.confirmedShare();
+        if (takenOver.add(account.name())) {
+            log.event("account-taken-over")
+                    .with("account", account.name())
+                    .with("owner", lostOwner.address().nodeId())
+                    .with("sharePermille", Math.round(1_000 * share))
+                    .write();
+        }
+        return grant(account, tokens, share);
+    }
+
     private Answer grant(ClientAccount account, int tokens, double reachableShare) {
         reachability.recordGrant();
         TokenGrant grant = owner.grant(timers.nowMillis(), account, reachableShare, tokens);
@@ -182,6 +201,7 @@
     private void tick() {
         owner.tick(timers.nowMillis());
         owner.keepOnly(this::isLocal);
+        takenOver.removeIf(account -> !isLocal(account) || lostOwner(account).isEmpty());
         reachability.check();
     }
 
--- a/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
@@ -140,6 +140,7 @@
             start(request);
             return;
         }
+        metrics.countForAccount("account_requests", account.get().name());
         accountAdmission.admit(account.get(), decision -> decision.refusal()
                 .ifPresentOrElse(reason -> refuse(request, reason, decision), () -> start(request)));
     }
@@ -315,6 +316,7 @@
             } else if (pending.verdictSoFar() != Verdict.NOT_RUN) {
                 giveUp(pending);
             } else {
+                metrics.countForAccount("account_refusals", account.name());
                 Reason reason = confirmed ? Reason.KEY_REVOKED : Reason.CONFIGURATION_UNCONFIRMED;
                 long retryAfterMillis = confirmed ? 0 : CallerAuthorization.UNCONFIRMED_RETRY_AFTER_MILLIS;
                 HttpResponseData response =
@@ -385,6 +387,7 @@
         log.event("answered")
                 .with("request", request.requestId())
                 .with("route", request.route().name())
+                .with("account", request.account().name())
                 .with("service", request.service())
                 .with("version", request.configurationVersion())
                 .with("home", pending.lastHomeId())
@@ -410,6 +413,7 @@
 
     private void refuse(AdmittedRequest request, Reason reason, AccountAdmission.Decision decision) {
         metrics.count("requests", reason.label());
+        metrics.countForAccount("account_refusals", request.account().name());
         log.event("refused")
                 .with("request", request.requestId())
                 .with("reason", reason.label())
--- a/engine/src/test/java/org/sardineshunt/engine/caller/AccountTokensTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/caller/AccountTokensTest.java
@@ -125,6 +125,7 @@
                 timers,
                 String.valueOf(index),
                 new DirectCalls(index),
+                new EventLog("node", line -> {}),
                 tracker,
                 new LimitBounds(5_000, 0.1, 100),
                 new Random(index));
