Let requests wait for another owner while the owner of their account is silent

Such requests now wait up to 1.2 s, by when another node grants. Requests over the limit are refused as early as before.

SilentOwnerTest: its first case can't pass with a wait of 150 ms. AccountLimitTest, AccountTokensTest and EngineAccountTest pass.

--- a/coordination/src/main/java/org/sardineshunt/coordination/account/AccountAdmission.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/account/AccountAdmission.java
@@ -26,6 +26,10 @@
     // An answer that is later finds its requests refused.
     private static final long ANSWER_TIMEOUT_MILLIS = 200;
 
+    // A silent owner counts as lost after 900 ms, and then another node grants. Callers lost requests that were refused
+    // before that.
+    private static final long MAXIMUM_WAIT_FOR_SILENT_OWNER_MILLIS = 1_200;
+
     private static final long UNREACHABLE_RETRY_AFTER_MILLIS = 500;
 
     private final TimerService timers;
@@ -143,18 +147,24 @@
     }
 
     private void refuseIfWaiting(State state, Waiting waiting) {
-        if (state.waiting.remove(waiting)) {
-            ClockReading now = clock.get();
-            waiting.onDecision()
-                    .accept(
-                            state.answered
-                                    ? limitReached(state, now)
-                                    : new Decision(
-                                            Optional.of(Reason.ACCOUNT_OWNER_UNREACHABLE),
-                                            UNREACHABLE_RETRY_AFTER_MILLIS,
-                                            state.wallet.balance(now),
-                                            state.wallet.millisSinceAsked(now)));
+        if (!state.waiting.contains(waiting)) {
+            return;
+        }
+        ClockReading now = clock.get();
+        if (!state.answered && now.monotonicMillis() - waiting.sinceMillis() < MAXIMUM_WAIT_FOR_SILENT_OWNER_MILLIS) {
+            timers.after(MAXIMUM_WAIT_MILLIS, () -> refuseIfWaiting(state, waiting));
+            return;
         }
+        state.waiting.remove(waiting);
+        waiting.onDecision().accept(state.answered ? limitReached(state, now) : ownerUnreachable(state, now));
+    }
+
+    private static Decision ownerUnreachable(State state, ClockReading now) {
+        return new Decision(
+                Optional.of(Reason.ACCOUNT_OWNER_UNREACHABLE),
+                UNREACHABLE_RETRY_AFTER_MILLIS,
+                state.wallet.balance(now),
+                state.wallet.millisSinceAsked(now));
     }
 
     private static Decision limitReached(State state, ClockReading now) {
