Grant tokens before the own row of the directory is read

For up to 5 s after the start of a node, requests of the accounts that it owns got 503 (account-owner-unreachable): other nodes knew it as the owner, but it didn't find itself among the nodes, whose table it reads with pauses, and passed the requests on to nodes that pointed back.

A node is always a candidate of its own. AccountAdmission.keepOnly, which nobody called, is gone.

Tests run: the new test of AccountTokensTest failed before (0 of 12 tokens) and passes; AccountTokensTest, EngineAccountTest and AccountLimitTest pass.

--- a/coordination/src/main/java/org/sardineshunt/coordination/account/AccountAdmission.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/account/AccountAdmission.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import org.sardineshunt.coordination.Reason;
@@ -71,13 +70,6 @@
         requestTokens(state);
     }
 
-    /** Discards what is known of the accounts that don't match a condition, unless requests of theirs wait. */
-    public void keepOnly(Predicate<String> isConfigured) {
-        states.entrySet()
-                .removeIf(entry -> !isConfigured.test(entry.getKey())
-                        && entry.getValue().waiting.isEmpty());
-    }
-
     private void requestTokens(State state) {
         ClockReading now = clock.get();
         if (state.requestPending) {
--- a/engine/src/main/java/org/sardineshunt/engine/caller/AccountTokens.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/AccountTokens.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 import org.sardineshunt.coordination.Reason;
 import org.sardineshunt.coordination.TimerService;
@@ -73,11 +74,12 @@
 
     /** Takes over the nodes of the directory. */
     public void handleDirectoryChange() {
-        ownership.setCandidates(nodes.nodes()
+        // After a start this node's own row comes seconds later, while others ask it already.
+        Stream<String> others = nodes.nodes()
                 .filter(node -> node.protocolLevel() > 0)
-                .map(node -> node.address().nodeId())
-                .sorted()
-                .toList());
+                .map(node -> node.address().nodeId());
+        ownership.setCandidates(
+                Stream.concat(Stream.of(ownId), others).distinct().sorted().toList());
     }
 
     @Override
--- a/engine/src/test/java/org/sardineshunt/engine/caller/AccountTokensTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/caller/AccountTokensTest.java
@@ -38,6 +38,7 @@
             .orElseThrow();
 
     private final ManualTimerService timers = new ManualTimerService();
+    private int missingInOwnDirectory = -1;
     private final List<String> cutLinks = new ArrayList<>();
     private final List<AccountTokens> tokens =
             IntStream.range(0, 4).mapToObj(this::node).toList();
@@ -78,6 +79,14 @@
         assertThat(takeAll(order.get(2)) + takeAll(order.get(0)) + takeAll(order.get(3)), is(0));
     }
 
+    /** After a start the own row is read back seconds later, while all others ask this node already. */
+    @Test
+    void grantsBeforeItsOwnRowIsRead() {
+        missingInOwnDirectory = order.get(0);
+        tokens.get(order.get(0)).handleDirectoryChange();
+        assertThat(takeAll(order.get(3)), is(BURST));
+    }
+
     /** Two halves together must not get more than one bucket. */
     @Test
     void halvesOfAPartitionShareTheBurst() {
@@ -142,6 +151,7 @@
         @Override
         public Stream<KnownNode> nodes() {
             return IntStream.range(0, 4)
+                    .filter(node -> node != index || index != missingInOwnDirectory)
                     .mapToObj(node -> new KnownNode(
                             new PeerAddress(String.valueOf(node), "127.0.0.1", 1 + node),
                             1,
