--- a/engine/src/test/java/org/sardineshunt/engine/caller/RetryDecisionTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/caller/RetryDecisionTest.java
@@ -66,6 +66,39 @@
         assertThat(decision.hasTimeForAttempt(20), is(true));
     }
 
+    /** Guards against a second response behind the head of the first one. */
+    @Test
+    void doesNotRetryAfterTheHeadOfAResponseWasSent() {
+        PendingRequest pending = pending(true, 3);
+        pending.startResponse();
+
+        assertThat(objection(0, pending, LOST), is(Optional.of("response-sent")));
+    }
+
+    @Test
+    void refusesAnEvictedRequestThatHasNotRun() {
+        RetryDecision.Outcome outcome = decision.evict(pending(true, 3));
+
+        assertThat(outcome.verdict(), is(Verdict.NOT_RUN));
+        assertThat(outcome.response().status(), is(503));
+        assertThat(outcome.response().header("Retry-After"), is(Optional.of("0.50")));
+    }
+
+    /** Guards against a status that promises that the request has not run while an attempt is in flight. */
+    @Test
+    void promisesNothingAboutAnEvictedRequestInFlight() {
+        PendingRequest pending = pending(true, 3);
+        pending.startAttempt(new PendingRequest.SentAttempt("entry/1/1", "home"));
+
+        assertThat(decision.evict(pending).response().status(), is(502));
+        assertThat(decision.failBody(pending).response().status(), is(502));
+    }
+
+    @Test
+    void timesOutARequestWhoseBodyStopsBeforeAnAttempt() {
+        assertThat(decision.failBody(pending(false, 3)).response().status(), is(408));
+    }
+
     /** Guards against a request that crashes one upstream after the other. */
     @Test
     void doesNotRetryARequestThatMayHaveCrashedAnUpstream() {
