Hedge slow idempotent requests within a share, off by default

A few slow responses determine p99, although other upstreams are idle. The entry waited for a slow attempt until it failed or the deadline passed.

The first usable response goes to the caller and the other attempt is cancelled; if one fails, the other is awaited. 401 and 503 (not run) need all attempts to have ended.

An attempt that was cancelled at another node had no result, and so counted as running for ever at HomeRegistry: after callers had disconnected, their homes looked busy. The cancellation ends it now. Hedges would have multiplied this.

--- a/engine/src/main/java/org/sardineshunt/engine/FleetHomeClient.java
+++ b/engine/src/main/java/org/sardineshunt/engine/FleetHomeClient.java
@@ -13,7 +13,7 @@
 import org.sardineshunt.coordination.Verdict;
 import org.sardineshunt.coordination.account.RunningRequests.RunningRequest;
 import org.sardineshunt.engine.backendserver.HomeService;
-import org.sardineshunt.engine.caller.EntryService;
+import org.sardineshunt.engine.caller.HomeClient;
 import org.sardineshunt.engine.caller.NodeCalls;
 import org.sardineshunt.engine.peer.KnownNode;
 import org.sardineshunt.engine.peer.NodeDirectory;
@@ -27,7 +27,7 @@
 import org.sardineshunt.engine.protocol.EngineMessages.Inquiry;
 
 /** Calls the homes of all nodes: the local one directly, others over peer links. Confined to the control thread. */
-final class FleetHomeClient implements EntryService.HomeClient, NodeCalls {
+final class FleetHomeClient implements HomeClient, NodeCalls {
     private static final long CONFIGURATION_QUERY_TIMEOUT_MILLIS = 2_000;
 
     private final ControlEventLoop control;
--- a/engine/src/main/java/org/sardineshunt/engine/caller/EntryResponses.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/EntryResponses.java
@@ -4,6 +4,8 @@
 import java.util.Locale;
 import java.util.stream.Stream;
 
+import org.sardineshunt.coordination.Reason;
+import org.sardineshunt.coordination.Verdict;
 import org.sardineshunt.engine.BodyBytes;
 import org.sardineshunt.engine.http.HttpHeader;
 import org.sardineshunt.engine.http.HttpResponseData;
@@ -39,4 +41,9 @@
                 .toList();
         return new HttpResponseData(answer.getStatus(), headers, BodyBytes.fromField(answer.getBody()));
     }
+
+    /** Returns whether an upstream ran the request and its response is no server error. */
+    static boolean isSuccess(Answer answer) {
+        return answer.getVerdict() == Verdict.RAN.ordinal() && Reason.ofPeerLabel(answer.getReason()) == Reason.NONE;
+    }
 }
--- a/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/EntryService.java
@@ -6,12 +6,10 @@
 import java.util.Random;
 import java.util.Set;
 
-import io.vavr.control.Either;
 import org.sardineshunt.coordination.Reason;
 import org.sardineshunt.coordination.Verdict;
 import org.sardineshunt.coordination.account.AccountAdmission;
 import org.sardineshunt.coordination.account.ClientAccount;
-import org.sardineshunt.coordination.account.RunningRequests.RunningRequest;
 import org.sardineshunt.coordination.idempotency.AttemptId;
 import org.sardineshunt.coordination.limit.StopAdmission;
 import org.sardineshunt.coordination.placement.HomeView;
@@ -69,6 +67,7 @@
     private final AccountAdmission accountAdmission;
     private final RequestAdmission admission;
     private final RetryDecision retryDecision;
+    private final Hedging hedging;
     private final long incarnation;
     private final TransferEstimate transfers = new TransferEstimate(MAXIMUM_ESTIMATED_ROUTES);
     private long lastAttemptNumber;
@@ -108,6 +107,13 @@
         admission = new RequestAdmission(settings.headers(), context.crashDetector(), random::nextDouble);
         retryDecision = new RetryDecision(
                 context.crashDetector(), responses, settings.limits().retryShare(), random::nextDouble);
+        hedging = new Hedging(
+                context,
+                homeRegistry,
+                retryDecision,
+                this::homes,
+                (pending, home, leftMillis) ->
+                        sendAttempt(pending, new PlacementPolicy.Choice(home, false), leftMillis));
     }
 
     /** Starts to serve a request; may be called on any thread. */
@@ -151,6 +157,7 @@
         PendingRequest pending = new PendingRequest(request);
         pendingRequests.add(pending);
         retryDecision.recordRequest(request);
+        hedging.recordRequest(request);
         pending.setDeadlineTimer(control.after(
                 Math.max(0, request.deadlineMillis() - control.nowMillis()), () -> handleDeadline(pending)));
         request.exchange().onDisconnect(() -> control.execute(() -> handleDisconnect(pending)));
@@ -178,6 +185,7 @@
             return;
         }
         sendAttempt(pending, choice.get(), leftMillis);
+        hedging.schedule(pending);
     }
 
     private List<HomeView> homes(AdmittedRequest request) {
@@ -217,25 +225,38 @@
                 .write();
         boolean streaming = homeClient.supportsStreaming(homeId);
         Attempt message = attempts.create(request, attemptId, choice.lastResort(), leftMillis, streaming);
-        Runnable cancellation = homeClient.attempt(homeId, message, streams(pending, streaming), result -> {
-            homeRegistry.recordEnded(homeId);
+        long sentMillis = control.nowMillis();
+        Runnable recordEnd = Hedging.once(() -> homeRegistry.recordEnded(homeId));
+        Runnable cancellation = homeClient.attempt(homeId, message, streams(pending, attempt, streaming), result -> {
+            recordEnd.run();
+            result.filter(EntryResponses::isSuccess).forEach(success -> hedging.recordTime(request, sentMillis));
             result.peek(answer -> handleAnswer(pending, attempt, answer))
                     .peekLeft(failure -> handleLinkFailure(pending, attempt, failure));
         });
-        pending.setCancellation(attempt, cancellation);
+        // A cancelled attempt has a result only if its home is this node.
+        pending.setCancellation(attempt, () -> {
+            cancellation.run();
+            recordEnd.run();
+            hedging.recordTime(request, sentMillis);
+        });
     }
 
-    private AttemptStreams streams(PendingRequest pending, boolean streaming) {
+    private AttemptStreams streams(PendingRequest pending, PendingRequest.SentAttempt attempt, boolean streaming) {
         return new AttemptStreams(
                 pending.request().exchange().streamedBody(),
-                streaming ? Optional.of(response -> handleStreamedResponse(pending, response)) : Optional.empty());
+                streaming
+                        ? Optional.of(response -> handleStreamedResponse(pending, attempt, response))
+                        : Optional.empty());
     }
 
-    private void handleStreamedResponse(PendingRequest pending, StreamedResponse response) {
-        if (pending.hasEnded() || pending.hasResponseStarted()) {
+    private void handleStreamedResponse(
+            PendingRequest pending, PendingRequest.SentAttempt attempt, StreamedResponse response) {
+        if (pending.hasEnded() || !pending.isInFlight(attempt) || pending.hasResponseStarted()) {
             response.body().pipe().cancel();
             return;
         }
+        pending.dropAttemptsExcept(attempt);
+        hedging.recordSuccess(pending, attempt);
         pending.startResponse();
         pending.request().exchange().respondStreamed(response);
     }
@@ -249,7 +270,7 @@
                 .with("sent", linkFailure.sent())
                 .with("cause", linkFailure.detail())
                 .write();
-        if (pending.hasEnded()) {
+        if (pending.hasEnded() || !pending.isInFlight(attempt)) {
             return;
         }
         if (!linkFailure.sent()) {
@@ -276,7 +297,7 @@
             homeRegistry.recordLoad(attempt.homeId(), answer.getLoad());
             configuration.recordPeerVersion(attempt.homeId(), answer.getLoad().getConfigurationVersion());
         }
-        if (pending.hasEnded()) {
+        if (pending.hasEnded() || !pending.isInFlight(attempt)) {
             return;
         }
         if (answer.getStreamed() && !pending.hasResponseStarted()) {
@@ -286,13 +307,16 @@
         }
         Verdict verdict = Verdict.ofOrdinal(answer.getVerdict()).orElse(Verdict.MAY_HAVE_RUN);
         Reason reason = Reason.ofPeerLabel(answer.getReason());
-        if (verdict == Verdict.RAN && reason == Reason.NONE) {
+        if (EntryResponses.isSuccess(answer)) {
             recordTransfer(pending.request(), answer);
+            hedging.recordSuccess(pending, attempt);
             pending.completeAttempt(attempt);
             respond(pending, new RetryDecision.Outcome(verdict, reason, EntryResponses.fromUpstream(answer)));
             return;
         }
-        if (verdict == Verdict.NOT_RUN && reason == Reason.KEY_REVOKED) {
+        if (verdict == Verdict.NOT_RUN
+                && reason == Reason.KEY_REVOKED
+                && pending.attemptsInFlight().size() == 1) {
             handleRevokedKey(pending, attempt);
             return;
         }
@@ -310,6 +334,10 @@
             return;
         }
         pending.failAttempt(attempt, failure);
+        if (!pending.attemptsInFlight().isEmpty()) {
+            hedging.recordFailure(pending, attempt, failure);
+            return;
+        }
         Optional<String> objection = retryDecision.objection(control.nowMillis(), pending, failure);
         if (objection.isEmpty()) {
             metrics.count("retries", failure.reason().label());
@@ -376,7 +404,6 @@
         if (pending.hasEnded()) {
             return;
         }
-        pending.cancelAttempts();
         respond(pending, retryDecision.timeOut(pending));
     }
 
@@ -384,7 +411,6 @@
         if (pending.hasEnded()) {
             return;
         }
-        pending.cancelAttempts();
         respond(pending, retryDecision.evict(pending));
     }
 
@@ -417,6 +443,7 @@
 
     private void respond(PendingRequest pending, RetryDecision.Outcome outcome) {
         AdmittedRequest request = pending.request();
+        pending.cancelAttempts();
         pending.end();
         pendingRequests.remove(pending);
         if (pending.hasFailedBody() && outcome.verdict() != Verdict.NOT_RUN) {
@@ -468,31 +495,4 @@
         request.exchange()
                 .respond(responses.error(request.requestId(), reason.httpStatus(), decision.retryAfterMillis()));
     }
-
-    /** Calls homes, on this node or on others. Callbacks run on the control thread. */
-    public interface HomeClient {
-        /** Returns a request that the local upstream is running; empty if it isn't running that request. */
-        Optional<RunningRequest> runningRequest(String requestId);
-
-        /** Takes one of the calls without a key that a running request may make; false if it may make no more. */
-        boolean tryAcquireCall(String requestId);
-
-        /**
-         * Sends an attempt to a home.
-         *
-         * @param onResult called with the answer, or with the failure if there was none
-         * @return action that cancels the attempt
-         */
-        Runnable attempt(
-                String homeId,
-                Attempt attempt,
-                AttemptStreams streams,
-                java.util.function.Consumer<Either<PeerFailure, Answer>> onResult);
-
-        /** Returns whether a home understands streamed bodies. */
-        boolean supportsStreaming(String homeId);
-
-        /** Asks a home how an attempt ended; one that hasn't started there never will. */
-        void inquire(String homeId, Inquiry inquiry, java.util.function.Consumer<Either<PeerFailure, Answer>> onResult);
-    }
 }
--- a/engine/src/main/java/org/sardineshunt/engine/caller/HomeRegistry.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/HomeRegistry.java
@@ -11,6 +11,7 @@
 import org.sardineshunt.coordination.TimerService;
 import org.sardineshunt.coordination.health.Baseline;
 import org.sardineshunt.coordination.placement.HomeView;
+import org.sardineshunt.coordination.retry.HedgingPolicy;
 import org.sardineshunt.coordination.rotation.HealthCondition;
 import org.sardineshunt.engine.peer.KnownNode;
 import org.sardineshunt.engine.peer.NodeDirectory;
@@ -69,6 +70,18 @@
                 .toList();
     }
 
+    /** Returns the given homes with the age of their reports and the number of this node's attempts there. */
+    List<HedgingPolicy.Candidate> hedgeCandidates(List<HomeView> homes) {
+        long now = timers.nowMillis();
+        return homes.stream()
+                .map(home -> {
+                    HomeState state = stateOf(home.nodeId());
+                    long reportAgeMillis = state.load == null ? Long.MAX_VALUE : now - state.reportedMillis;
+                    return new HedgingPolicy.Candidate(home, reportAgeMillis, state.outstanding);
+                })
+                .toList();
+    }
+
     /** Records a home's load report unless the same or a newer one of that incarnation is known. */
     public void recordLoad(String nodeId, HomeLoad load) {
         HomeState state = stateOf(nodeId);
--- a/engine/src/main/java/org/sardineshunt/engine/caller/PendingRequest.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/PendingRequest.java
@@ -21,6 +21,9 @@
     private final Map<String, Runnable> cancellationByAttemptId = new LinkedHashMap<>();
     private final Set<String> triedHomes = new HashSet<>();
     private TimerService.Timer deadlineTimer = () -> {};
+    private TimerService.Timer hedgeTimer = () -> {};
+    private Optional<String> hedgeAttemptId = Optional.empty();
+    private String lastAttemptId = "";
     private Verdict verdictSoFar = Verdict.NOT_RUN;
     private Reason lastReason = Reason.NO_UPSTREAM;
     private Optional<Answer> errorAnswer = Optional.empty();
@@ -41,10 +44,22 @@
         deadlineTimer = timer;
     }
 
+    /** Sets the timer that sends a second attempt beside a slow one, instead of an earlier one. */
+    void setHedgeTimer(TimerService.Timer timer) {
+        hedgeTimer.cancel();
+        hedgeTimer = timer;
+    }
+
+    /** Records that the last attempt was sent beside a slow one. */
+    void markLastAttemptAsHedge() {
+        hedgeAttemptId = Optional.of(lastAttemptId);
+    }
+
     /** Records an attempt that is about to be sent; it is in flight until it fails or is answered. */
     void startAttempt(SentAttempt attempt) {
         cancellationByAttemptId.put(attempt.attemptId(), () -> {});
         triedHomes.add(attempt.homeId());
+        lastAttemptId = attempt.attemptId();
         lastHomeId = attempt.homeId();
         sentAttempts++;
     }
@@ -70,6 +85,7 @@
     /** Records that an upstream answered an attempt without a server error. */
     void completeAttempt(SentAttempt attempt) {
         cancellationByAttemptId.remove(attempt.attemptId());
+        lastHomeId = attempt.homeId();
     }
 
     /** Keeps the answer of an upstream with a server error, instead of an earlier one. */
@@ -82,10 +98,24 @@
         List.copyOf(cancellationByAttemptId.values()).forEach(Runnable::run);
     }
 
+    /** Cancels all attempts in flight except one; their later results must be ignored. */
+    void dropAttemptsExcept(SentAttempt kept) {
+        Map<String, Runnable> dropped = new LinkedHashMap<>(cancellationByAttemptId);
+        dropped.remove(kept.attemptId());
+        cancellationByAttemptId.keySet().removeAll(dropped.keySet());
+        dropped.values().forEach(Runnable::run);
+    }
+
+    /** Returns whether an attempt has neither failed nor been answered nor dropped. */
+    boolean isInFlight(SentAttempt attempt) {
+        return cancellationByAttemptId.containsKey(attempt.attemptId());
+    }
+
     /** Ends the request; later results of its attempts must be ignored. */
     void end() {
         ended = true;
         deadlineTimer.cancel();
+        hedgeTimer.cancel();
     }
 
     /** Records that the head of a streamed response was sent to the caller. */
@@ -133,7 +163,7 @@
         return Set.copyOf(triedHomes);
     }
 
-    /** Returns the node ID of the home of the last attempt; empty before the first one. */
+    /** Returns the node ID of the home that answered, before that of the last attempt; empty before the first one. */
     String lastHomeId() {
         return lastHomeId;
     }
@@ -142,6 +172,11 @@
         return sentAttempts;
     }
 
+    /** Returns the ID of the attempt that was sent beside a slow one; empty if there was none. */
+    Optional<String> hedgeAttemptId() {
+        return hedgeAttemptId;
+    }
+
     /** Returns the number of all failed attempts, including those that homes refused. */
     int failedAttempts() {
         return failedAttempts;
--- a/engine/src/main/java/org/sardineshunt/engine/caller/RetryDecision.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/RetryDecision.java
@@ -91,10 +91,20 @@
         if (request.deadlineMillis() - nowMillis <= MINIMUM_LEFT_MILLIS) {
             return Optional.of("no-time-left");
         }
-        if (crashDetector.isSuspect(nowMillis, String.valueOf(request.fingerprint()))) {
+        if (isSuspect(nowMillis, request)) {
             return Optional.of("suspect");
         }
-        return retryBudget(request).tryAcquireRetry() ? Optional.empty() : Optional.of("retry-budget");
+        return tryAcquireRetry(request) ? Optional.empty() : Optional.of("retry-budget");
+    }
+
+    /** Returns whether a request may have crashed an upstream. */
+    boolean isSuspect(long nowMillis, AdmittedRequest request) {
+        return crashDetector.isSuspect(nowMillis, String.valueOf(request.fingerprint()));
+    }
+
+    /** Takes a retry from the budget of a request's service. Returns false if none is left. */
+    boolean tryAcquireRetry(AdmittedRequest request) {
+        return retryBudget(request).tryAcquireRetry();
     }
 
     /**
@@ -105,7 +115,9 @@
     Outcome giveUp(PendingRequest pending, Supplier<List<HomeView>> homes) {
         String requestId = pending.request().requestId();
         return errorOutcome(pending).orElseGet(() -> {
-            if (pending.verdictSoFar() == Verdict.NOT_RUN) {
+            // An attempt in flight may still run.
+            if (pending.verdictSoFar() == Verdict.NOT_RUN
+                    && pending.attemptsInFlight().isEmpty()) {
                 HttpResponseData response = responses.error(requestId, 503, retryAfterMillis(pending, homes));
                 return new Outcome(Verdict.NOT_RUN, pending.lastReason(), response);
             }
--- a/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
@@ -56,9 +56,16 @@
     private final List<String> logLines = new CopyOnWriteArrayList<>();
     private final FakeTable table = new FakeTable();
     private final FakeConfigurationSource configurations = new FakeConfigurationSource();
+    private final double hedgeShare;
     private int sentRequests;
 
     EngineFleet(int size) {
+        this(size, 0);
+    }
+
+    /** Starts engines that may hedge the given share of the requests. */
+    EngineFleet(int size, double hedgeShare) {
+        this.hedgeShare = hedgeShare;
         IntStream.range(0, size).forEach(index -> {
             FakeUpstream upstream = new FakeUpstream(eventLoops, "upstream-" + index);
             upstreams.add(upstream);
@@ -117,7 +124,7 @@
                 new InetSocketAddress("127.0.0.1", 0),
                 new InetSocketAddress("127.0.0.1", 0),
                 HEADERS,
-                new EngineSettings.Limits(0.5, 1, 2_000, 3_000, 0),
+                new EngineSettings.Limits(0.5, 1, 2_000, 3_000, hedgeShare),
                 EngineSettings.Resources.DEFAULT,
                 new EngineSettings.AccountBounds(5_000, 0.1, 20));
         return new Engine(settings, new EventLog("node-" + index, logLines::add), new MetricRegistry());
--- a/engine/src/test/java/org/sardineshunt/engine/caller/RetryDecisionTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/caller/RetryDecisionTest.java
@@ -206,6 +206,19 @@
         assertThat(outcome.response().status(), is(504));
     }
 
+    /** Guards against a 503, which promises that the request has not run, while another attempt may run it. */
+    @Test
+    void givesUpWithoutAPromiseWhileAnotherAttemptIsInFlight() {
+        PendingRequest pending = pending(true, 3);
+        pending.startAttempt(new PendingRequest.SentAttempt("attempt-in-flight", "home-in-flight"));
+        objection(0, pending, REFUSED);
+
+        RetryDecision.Outcome outcome = decision.giveUp(pending, List::of);
+
+        assertThat(outcome.verdict(), is(Verdict.MAY_HAVE_RUN));
+        assertThat(outcome.response().status(), is(502));
+    }
+
     private static PendingRequest pending(boolean idempotent, int maximumAttempts) {
         return new PendingRequest(EntryFixtures.admitted(EntryFixtures.route(idempotent, maximumAttempts)));
     }
