--- a/coordination/src/main/java/org/sardineshunt/coordination/account/ClockReading.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/account/ClockReading.java
@@ -1,7 +1,7 @@
 package org.sardineshunt.coordination.account;
 
 /**
- * A point in time on two clocks. While a machine is suspended its monotonic clock may stand still, and its wall clock
+ * A point in time on two clocks. While an instance is suspended its monotonic clock may stand still, and its wall clock
  * may be set back; what must not last too long is measured by the clock that moved further.
  *
  * @param monotonicMillis time of the monotonic clock
