Wait for the row itself in the test with a node of the previous build

EngineStreamingTest.refusesALongBodyIfOnlyNodesOfThePreviousBuildServeIt got 502 instead of 503 now and then. The test waited for a log line with the incarnation of the row that it had written, one above the old one, and the time of an earlier line could have the same value, as both nodes start within milliseconds. The trace shows the request sent to the old node before the row was read.

--- a/engine/src/test/java/org/sardineshunt/engine/EngineStreamingTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineStreamingTest.java
@@ -186,8 +186,8 @@
                 .build();
         fleet.table().put(NODES_TABLE, "node-1", previousBuild.toByteArray());
         Await.until("the row was read", () -> fleet.logLines().stream()
-                .anyMatch(line ->
-                        line.contains("node-known") && line.contains(String.valueOf(previousBuild.getIncarnation()))));
+                .anyMatch(line -> line.contains("node-known")
+                        && line.contains("\"startedAt\":" + previousBuild.getIncarnation() + ',')));
         try (StreamingCaller caller = caller()) {
             caller.sendHead("POST", EngineFleet.BOOKING_PATH, "Content-Length: " + BODY_BYTES + "\r\n");
             caller.send(PART);
