Answer 504 when the home's timer of the deadline fires first

EngineTest.respondsGatewayTimeoutAfterTheTimeoutOfTheRoute got 502 instead of 504 once beside load. Entry and home have timers for the same deadline; if the home's fires first, its answer ends the request as one that may have run, and the status was 502 whatever the reason. Both statuses promise nothing; the reason decides now. That this race was the cause of the one failure is read from the code, not traced. RetryDecisionTest has the case, which gave 502 before; EngineTest passes.

--- a/engine/src/main/java/org/sardineshunt/engine/caller/RetryDecision.java
+++ b/engine/src/main/java/org/sardineshunt/engine/caller/RetryDecision.java
@@ -121,7 +121,9 @@
                 HttpResponseData response = responses.error(requestId, 503, retryAfterMillis(pending, homes));
                 return new Outcome(Verdict.NOT_RUN, pending.lastReason(), response);
             }
-            return new Outcome(Verdict.MAY_HAVE_RUN, pending.lastReason(), responses.error(requestId, 502, 0));
+            // The home's timer of the same deadline may fire before that of this node.
+            int status = pending.lastReason() == Reason.DEADLINE_PASSED ? 504 : 502;
+            return new Outcome(Verdict.MAY_HAVE_RUN, pending.lastReason(), responses.error(requestId, status, 0));
         });
     }
 
--- a/engine/src/test/java/org/sardineshunt/engine/caller/RetryDecisionTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/caller/RetryDecisionTest.java
@@ -212,6 +212,15 @@
         assertThat(outcome.response().header("Retry-After"), is(Optional.empty()));
     }
 
+    /** A caller got 502 or 504 at the route's timeout, as the home's or this node's timer of the deadline was first. */
+    @Test
+    void reportsTheTimeoutOfTheHomeAsATimeout() {
+        PendingRequest pending = pending(false, 3);
+        objection(0, pending, new PendingRequest.Failure(Verdict.MAY_HAVE_RUN, Reason.DEADLINE_PASSED, true));
+
+        assertThat(decision.giveUp(pending, List::of).response().status(), is(504));
+    }
+
     /** An upstream's own error tells the caller more than one of this node's. */
     @Test
     void givesUpWithTheErrorOfAnUpstreamIfThereIsOne() {
