--- a/review/harness-2/Http.java
+++ b/review/harness-2/Http.java
@@ -16,9 +16,10 @@
     /** The head of a message. */
     record Head(String firstLine, List<String> fields) {
         String field(String name) {
+            String start = Wire.expand(name) + ":";
             return fields.stream()
-                    .filter(line -> line.regionMatches(true, 0, name + ":", 0, name.length() + 1))
-                    .map(line -> line.substring(name.length() + 1).trim())
+                    .filter(line -> line.regionMatches(true, 0, start, 0, start.length()))
+                    .map(line -> line.substring(start.length()).trim())
                     .findFirst()
                     .orElse(null);
         }
@@ -127,7 +128,7 @@
     }
 
     static byte[] bytes(String text) {
-        return text.getBytes(StandardCharsets.ISO_8859_1);
+        return Wire.expand(text).getBytes(StandardCharsets.ISO_8859_1);
     }
 
     static InputStream input(Socket socket) throws IOException {
--- a/review/harness-2/KeptAnswers.java
+++ b/review/harness-2/KeptAnswers.java
@@ -93,15 +93,15 @@
     private static boolean serve(Socket socket, InputStream input, Http.Head head)
             throws IOException, InterruptedException {
         Http.copy(input, null, Upstream.bodyLength(head));
-        String id = head.field("X-Attempt-Id");
+        String id = head.field("@request-id");
         if (id == null) {
             socket.getOutputStream().write(Http.bytes("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"));
             return true;
         }
         RUN.add(id);
         Thread.sleep(WORK_MILLIS);
-        socket.getOutputStream().write(Http.bytes("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id
-                + "\r\nX-Response-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\nContent-Length: " + ANSWER_BYTES + "\r\n\r\n"));
+        socket.getOutputStream().write(Http.bytes("HTTP/1.1 200 OK\r\n@request-id: " + id
+                + "\r\n@signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\nContent-Length: " + ANSWER_BYTES + "\r\n\r\n"));
         socket.getOutputStream().write(new byte[ANSWER_BYTES]);
         return true;
     }
@@ -112,8 +112,8 @@
         boolean reused = kept != null;
         Socket socket = reused ? kept : Http.connect(node.host, node.callerPort, 12_000);
         try {
-            socket.getOutputStream().write(Http.bytes("POST /reserve/a HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + id
-                    + "\r\nX-Deadline-Remaining: 10000\r\nContent-Length: 2\r\n\r\n{}"));
+            socket.getOutputStream().write(Http.bytes("POST /reserve/a HTTP/1.1\r\nHost: h.example\r\n@request-id: " + id
+                    + "\r\n@time-left: 10000\r\nContent-Length: 2\r\n\r\n{}"));
             Http.Response response = Http.readResponse(Http.input(socket));
             if (response == null || !response.complete()) {
                 throw new IOException("connection closed");
--- a/review/harness-2/LateCheckIn.java
+++ b/review/harness-2/LateCheckIn.java
@@ -86,7 +86,7 @@
         node.start();
         Thread.sleep(2_000);
         for (status = 0; status == 0 && Record.millis() < 60_000; Thread.sleep(200)) {
-            status = Upstream.post(node, "instances.heartbeat&of=i-1", late);
+            status = Upstream.post(node, "@announce&of=i-1", late);
         }
         record.line("i-1: the delayed check-in arrives -> " + status);
         Thread.sleep(1_000);
@@ -124,18 +124,18 @@
             socket.getOutputStream().write(Http.bytes("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"));
             return true;
         }
-        String id = head.field("X-Attempt-Id");
+        String id = head.field("@request-id");
         RUNS.add(new Run(upstream, id, Record.millis()));
         Thread.sleep(WORK_MILLIS);
-        socket.getOutputStream().write(Http.bytes("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id
-                + "\r\nX-Response-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\nContent-Length: 2\r\n\r\nok"));
+        socket.getOutputStream().write(Http.bytes("HTTP/1.1 200 OK\r\n@request-id: " + id
+                + "\r\n@signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\nContent-Length: 2\r\n\r\nok"));
         return true;
     }
 
     private static void reserve(Node node, String id) throws IOException {
         try (Socket socket = Http.connect(node.host, node.callerPort, 12_000)) {
-            socket.getOutputStream().write(Http.bytes("POST /reserve/a HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + id
-                    + "\r\nX-Deadline-Remaining: 10000\r\nContent-Length: 2\r\n\r\n{}"));
+            socket.getOutputStream().write(Http.bytes("POST /reserve/a HTTP/1.1\r\nHost: h.example\r\n@request-id: " + id
+                    + "\r\n@time-left: 10000\r\nContent-Length: 2\r\n\r\n{}"));
             Http.readResponse(Http.input(socket));
         }
     }
--- a/review/harness-2/Node.java
+++ b/review/harness-2/Node.java
@@ -110,7 +110,7 @@
     }
 
     boolean isReady() {
-        return Http.exchange(host, readyPort, "GET /v1/readiness HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n", 2_000)
+        return Http.exchange(host, readyPort, "GET @readiness HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n", 2_000)
                 .startsWith("HTTP/1.1 200");
     }
 
--- a/review/harness-2/OddCheckIn.java
+++ b/review/harness-2/OddCheckIn.java
@@ -62,7 +62,7 @@
             String body = "{\"address\":\"" + leavingNode.host + ":" + leaving.port() + "\",\"born\":" + leaving.born
                     + ",\"information\":{\"service\":\"booking\",\"slots\":4},"
                     + "\"status\":{\"state\":\"ready\",\"sequence\":1000,\"warmup_remaining_ms\":0}}";
-            int status = Upstream.post(leavingNode, "instances.heartbeat&of=i-1", body);
+            int status = Upstream.post(leavingNode, "@announce&of=i-1", body);
             record.line("another writer: check-in of i-1 without zone and version: " + body + " -> " + status);
         }
         Thread.sleep(4_000);
@@ -123,22 +123,22 @@
             socket.getOutputStream().write(Http.bytes("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"));
             return true;
         }
-        String id = head.field("X-Attempt-Id");
+        String id = head.field("@request-id");
         RUNS.add(new Run(upstream, id, Record.millis()));
         Thread.sleep(WORK_MILLIS);
         if (ended && upstream.equals("i-1")) {
             // The process has exited meanwhile.
             return false;
         }
-        socket.getOutputStream().write(Http.bytes("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id
-                + "\r\nX-Response-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\nContent-Length: 2\r\n\r\nok"));
+        socket.getOutputStream().write(Http.bytes("HTTP/1.1 200 OK\r\n@request-id: " + id
+                + "\r\n@signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\nContent-Length: 2\r\n\r\nok"));
         return true;
     }
 
     private static void reserve(Node node, String id) {
         try (Socket socket = Http.connect(node.host, node.callerPort, 12_000)) {
-            socket.getOutputStream().write(Http.bytes("POST /reserve/a HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + id
-                    + "\r\nX-Deadline-Remaining: 10000\r\nContent-Length: 2\r\n\r\n{}"));
+            socket.getOutputStream().write(Http.bytes("POST /reserve/a HTTP/1.1\r\nHost: h.example\r\n@request-id: " + id
+                    + "\r\n@time-left: 10000\r\nContent-Length: 2\r\n\r\n{}"));
             Http.Response response = Http.readResponse(Http.input(socket));
             RESULTS.put(id, response == null ? "closed" : String.valueOf(response.head().status()));
         } catch (IOException broken) {
--- a/review/harness-2/Store.java
+++ b/review/harness-2/Store.java
@@ -33,9 +33,9 @@
             thread.setDaemon(true);
             return thread;
         }));
-        server.createContext("/v1/rows-get", exchange -> answer(exchange, snapshot(query(exchange))));
-        server.createContext("/v1/rows-feed", exchange -> answer(exchange, feed(query(exchange))));
-        server.createContext("/v1/rows-tx", this::write);
+        server.createContext(Wire.expand("@read-rows"), exchange -> answer(exchange, snapshot(query(exchange))));
+        server.createContext(Wire.expand("@follow-rows"), exchange -> answer(exchange, feed(query(exchange))));
+        server.createContext(Wire.expand("@change-rows"), this::write);
         server.start();
     }
 
--- a/review/harness-2/TruncatedAnswer.java
+++ b/review/harness-2/TruncatedAnswer.java
@@ -86,7 +86,7 @@
                 continue;
             }
             record.line(id + ": client: status " + response.head().status() + ", signature "
-                    + response.head().field("X-Response-Signature") + ", Content-Length "
+                    + response.head().field("@signature") + ", Content-Length "
                     + response.head().field("Content-Length") + ", " + response.body().length + " bytes, "
                     + (response.complete() ? "complete" : "broken off"));
             if (success && response.complete()) {
@@ -118,9 +118,9 @@
             socket.getOutputStream().write(Http.bytes("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"));
             return true;
         }
-        String id = head.field("X-Attempt-Id");
-        String start = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id
-                + "\r\nX-Response-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\n";
+        String id = head.field("@request-id");
+        String start = "HTTP/1.1 200 OK\r\n@request-id: " + id
+                + "\r\n@signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\n";
         OutputStream output = socket.getOutputStream();
         if (!faulty || ANSWERS.incrementAndGet() % GARBLED_ONE_IN != 0) {
             Http.copy(input, null, BODY_BYTES);
@@ -150,8 +150,8 @@
         try (Socket socket = Http.connect(node.host, node.callerPort, 15_000)) {
             Thread sender = Upstream.daemon("sender", () -> {
                 OutputStream output = socket.getOutputStream();
-                output.write(Http.bytes("POST /upload/a HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + id
-                        + "\r\nX-Deadline-Remaining: 15000\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n"));
+                output.write(Http.bytes("POST /upload/a HTTP/1.1\r\nHost: h.example\r\n@request-id: " + id
+                        + "\r\n@time-left: 15000\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n"));
                 byte[] part = new byte[16_384];
                 for (int sent = 0; sent < BODY_BYTES; sent += part.length) {
                     output.write(part);
--- a/review/harness-2/Upstream.java
+++ b/review/harness-2/Upstream.java
@@ -52,11 +52,11 @@
         try (socket) {
             InputStream input = Http.input(socket);
             for (Http.Head head = Http.readHead(input); head != null; head = Http.readHead(input)) {
-                String expected = head.field("X-Expected-Instance");
+                String expected = head.field("@expected-upstream");
                 if (expected != null && !expected.equals(id)) {
                     Http.copy(input, null, bodyLength(head));
-                    socket.getOutputStream().write(Http.bytes("HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: "
-                            + head.field("X-Attempt-Id") + "\r\nX-Instance-Id: " + id
+                    socket.getOutputStream().write(Http.bytes("HTTP/1.1 421 Misdirected Request\r\n@request-id: "
+                            + head.field("@request-id") + "\r\n@upstream-id: " + id
                             + "\r\nContent-Length: 0\r\n\r\n"));
                 } else if (!handler.serve(socket, input, head)) {
                     return;
@@ -73,7 +73,7 @@
 
     /** Sends a check-in to the node beside it; returns the status, 0 if there is no answer within a second. */
     int checkIn(Node node) {
-        return post(node, "instances.heartbeat&of=" + id, nextCheckIn());
+        return post(node, "@announce&of=" + id, nextCheckIn());
     }
 
     /** Returns the body of the next check-in. */
@@ -86,14 +86,14 @@
 
     /** Says that it leaves. */
     synchronized int leave(Node node) {
-        return post(node, "instances.leave&of=" + id, "{\"born\":" + born + "}");
+        return post(node, "@leave&of=" + id, "{\"born\":" + born + "}");
     }
 
     static int post(Node node, String call, String body) {
         String answer = Http.exchange(
                 node.host,
                 node.controlPort,
-                "POST /v1/rpc?call=" + call + " HTTP/1.1\r\nHost: " + node.host + "\r\nContent-Type: application/json\r\n"
+                "POST @calls?call=" + call + " HTTP/1.1\r\nHost: " + node.host + "\r\nContent-Type: application/json\r\n"
                         + "Connection: close\r\nContent-Length: " + body.length() + "\r\n\r\n" + body,
                 1_000);
         return answer.startsWith("HTTP/1.1 ") ? Integer.parseInt(answer.substring(9, 12)) : 0;
