--- a/review/harness-2/KeptAnswers.java
+++ b/review/harness-2/KeptAnswers.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Case 8: a burst of requests that are not idempotent and whose answers are large. The home keeps each answer for some
+ * Case 9: a burst of requests that are not idempotent and whose answers are large. The home keeps each answer for some
  * seconds after the client has received it.
  */
 final class KeptAnswers {
--- a/review/harness-2/LateCheckIn.java
+++ b/review/harness-2/LateCheckIn.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Case 9: an upstream leaves and gets its ack. The process of the node beside it is killed while the store is down, and
+ * Case 10: an upstream leaves and gets its ack. The process of the node beside it is killed while the store is down, and
  * starts again. Then a check-in arrives that the upstream had sent before it left.
  */
 final class LateCheckIn {
--- a/review/harness-2/TinyChunks.java
+++ b/review/harness-2/TinyChunks.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Case 7: clients upload chunked bodies while the upstream is busy, so that the uploads wait. With the disruption the
+ * Case 8: clients upload chunked bodies while the upstream is busy, so that the uploads wait. With the disruption the
  * later chunks are one byte each; without it, they have 4 KiB. The last chunk is not sent.
  */
 final class TinyChunks {
