Ask other nodes for departures whatever the row says

An upstream that left in an outage of the table, with the acknowledgement resting on copies at other nodes, could get requests again (DRAIN) after a restart of its node, if the row still had the leave of the upstream before.

Cause: other nodes were asked only if the row said ready. A row that says LEFT restored that at once and completed the restoration, so a late announcement of the later upstream made it ready. The same held without a row.

Change: other nodes are asked in each case. A row with a departure counts at once, its restoration is complete after the answers.

--- a/engine/src/main/java/org/sardineshunt/engine/UpstreamRestorer.java
+++ b/engine/src/main/java/org/sardineshunt/engine/UpstreamRestorer.java
@@ -98,16 +98,13 @@
     void start(Optional<KnownNode> ownRow) {
         started = true;
         Optional<Announcement> stored = ownRow.flatMap(KnownNode::upstream);
-        if (stored.isEmpty()) {
-            complete();
-        } else if (stored.get().phase() == Phase.READY) {
-            askOtherNodes(stored.get(), ownRow.get().incarnation());
-        } else {
-            restore(stored.get(), "row");
-        }
+        stored.filter(announcement -> announcement.phase() != Phase.READY)
+                .ifPresent(announcement -> restore(announcement, "row"));
+        // Also without a row that says ready: a later upstream may have left while the table didn't answer.
+        askOtherNodes(stored, ownRow.map(KnownNode::incarnation));
     }
 
-    private void askOtherNodes(Announcement stored, long previousIncarnation) {
+    private void askOtherNodes(Optional<Announcement> stored, Optional<Long> previousIncarnation) {
         List<KnownNode> others = new ArrayList<>(directory
                 .nodes()
                 .filter(node ->
@@ -115,22 +112,26 @@
                 .toList());
         Collections.shuffle(others, context.random());
         Frame query = Frame.newBuilder()
-                .setDepartureQuery(DepartureQuery.newBuilder().setPreviousIncarnation(previousIncarnation))
+                .setDepartureQuery(DepartureQuery.newBuilder().setPreviousIncarnation(previousIncarnation.orElse(0L)))
                 .build();
         peers.callReachable(
                 others.stream().limit(ASKED_NODES),
                 query,
                 ANSWER_TIMEOUT_MILLIS,
-                answer -> handleAnswer(stored, answer),
+                answer -> handleAnswer(stored, previousIncarnation.isPresent(), answer),
                 () -> handleEnd(stored));
     }
 
-    private void handleAnswer(Announcement stored, Answer answer) {
-        Optional<Announcement> departure = departure(answer).filter(departed -> !stored.supersedes(departed));
+    private void handleAnswer(Optional<Announcement> stored, boolean hadPreviousProcess, Answer answer) {
+        Optional<Announcement> departure = departure(answer)
+                .filter(departed ->
+                        stored.filter(row -> row.supersedes(departed)).isEmpty());
         if (departure.isPresent()) {
             restore(departure.get(), "other node");
-        } else if (answer.getKnewPreviousProcess() && ++nodesWithoutDeparture == SUFFICIENT_ANSWERS && !completed) {
-            restore(stored, "row");
+            complete();
+        } else if ((answer.getKnewPreviousProcess() || !hadPreviousProcess)
+                && ++nodesWithoutDeparture == SUFFICIENT_ANSWERS) {
+            handleEnd(stored);
         }
     }
 
@@ -146,20 +147,25 @@
                 .toJavaOptional();
     }
 
-    private void handleEnd(Announcement stored) {
+    private void handleEnd(Optional<Announcement> stored) {
         if (completed) {
             return;
         }
+        Optional<Announcement> ready = stored.filter(announcement -> announcement.phase() == Phase.READY);
         if (nodesWithoutDeparture > 0) {
-            restore(stored, "row");
+            ready.ifPresent(announcement -> restore(announcement, "row"));
         } else {
-            context.log()
-                    .event("upstream-not-restored")
-                    .with("upstream", stored.id())
-                    .with("cause", "no node had a link to the process before")
-                    .write();
-            complete();
+            ready.ifPresent(this::logNotRestored);
         }
+        complete();
+    }
+
+    private void logNotRestored(Announcement stored) {
+        context.log()
+                .event("upstream-not-restored")
+                .with("upstream", stored.id())
+                .with("cause", "no node had a link to the process before")
+                .write();
     }
 
     private void restore(Announcement announcement, String source) {
@@ -170,7 +176,6 @@
                 .with("source", source)
                 .write();
         listener.restored(announcement);
-        complete();
     }
 
     private void complete() {
--- a/engine/src/test/java/org/sardineshunt/engine/EngineDepartureTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineDepartureTest.java
@@ -14,6 +14,7 @@
 import org.sardineshunt.coordination.announcement.Announcement;
 import org.sardineshunt.coordination.announcement.Announcement.Phase;
 import org.sardineshunt.engine.protocol.EngineMessages.NodeRecord;
+import org.sardineshunt.engine.protocol.EngineMessages.UpstreamRecord;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
@@ -199,6 +200,33 @@
         Await.until("the upstream runs attempts", () -> verdictOfAttemptAtNode1() == Verdict.RAN);
     }
 
+    /**
+     * Guards against forgetting an acknowledged leave (DRAIN) that only other nodes know, because the row still has the leave of
+     * the upstream before.
+     */
+    @Test
+    void aLeaveThatOnlyOtherNodesKnowOutlivesTheProcessIfTheRowHasAnEarlierOne() {
+        fleet = new EngineFleet(3);
+        Await.until("the first leave was acknowledged", leave(1)::get);
+        Await.until("the table has the first leave", () -> storedPhase(1) == Phase.LEFT);
+        fleet.table().setDown(true);
+        Announcement second = new Announcement("second", 2_000, 1, "service", 4, Phase.READY, 0);
+        announceAndAwaitAcknowledgement(second);
+        AtomicBoolean acknowledged = new AtomicBoolean();
+        fleet.engine(1).leave("second", 2_000, () -> acknowledged.set(true));
+        Await.until("the second leave was acknowledged", acknowledged::get);
+
+        Engine restarted = fleet.restart(1);
+        restarted.configure(EngineFleet.configuration(1, 4_000));
+        fleet.table().setDown(false);
+        Await.until("the restarted engine is ready", restarted::isReady);
+        announceAndAwaitAcknowledgement(new Announcement("second", 2_000, 2, "service", 4, Phase.READY, 0));
+        Await.until("the table has the second leave", () -> storedUpstreamId(1).equals("second"));
+
+        assertThat(storedPhase(1), is(Phase.LEFT));
+        assertNoRequestReachesTheLeftUpstream();
+    }
+
     private Engine restartInOutageAfterStoredLeave() {
         fleet = new EngineFleet(3);
         Await.until("the leave was acknowledged", leave(1)::get);
@@ -259,10 +287,17 @@
     }
 
     private Phase storedPhase(int index) {
+        return Phase.ofOrdinal(storedUpstream(index).getPhase());
+    }
+
+    private String storedUpstreamId(int index) {
+        return storedUpstream(index).getId();
+    }
+
+    private UpstreamRecord storedUpstream(int index) {
         try {
-            return Phase.ofOrdinal(NodeRecord.parseFrom(fleet.table().value(NODES_TABLE, "node-" + index))
-                    .getUpstream()
-                    .getPhase());
+            return NodeRecord.parseFrom(fleet.table().value(NODES_TABLE, "node-" + index))
+                    .getUpstream();
         } catch (InvalidProtocolBufferException malformed) {
             throw new AssertionError("row of node-" + index + " is malformed", malformed);
         }
