Take a response with status 101 for a malformed one

What callers saw: an upstream that answers 101 left its caller waiting until the deadline, although no answer could come any more.

Cause: the client took each 1xx for an interim response. After 101 the decoder passes on raw bytes that are no message, so nothing ended the call.

Change: no request asks for another protocol, so 101 fails the call at once.

Measured: the three cases with 101 of failsACallWhoseAnswerHasNoFinalStatus ended after 20 s with a timeout before; HttpClientTest and EngineOddInputTest pass.

--- a/engine/src/main/java/org/sardineshunt/engine/http/ClientConnection.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/ClientConnection.java
@@ -31,6 +31,7 @@
 /** A client connection that carries one call at a time. All state is confined to the client's event loop. */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final int INFORMATIONAL_CLASS = 1;
+    private static final int SWITCHING_PROTOCOLS = 101;
     private static final int MAXIMUM_LINE_BYTES = 16_384;
     private static final int MAXIMUM_HEADER_BYTES = 65_536;
     private static final int MAXIMUM_CHUNK_BYTES = 65_536;
@@ -210,6 +211,10 @@
         if (!call.receive(sizeOf(response))) {
             return;
         }
+        if (response.status().code() == SWITCHING_PROTOCOLS) {
+            fail(call, FailureKind.MALFORMED, "status 101, but the request asks for no other protocol");
+            return;
+        }
         if (response.status().code() / 100 == INFORMATIONAL_CLASS) {
             discarding = true;
             return;
--- a/engine/src/test/java/org/sardineshunt/engine/EngineOddInputTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineOddInputTest.java
@@ -109,6 +109,27 @@
                 is(empty()));
     }
 
+    /** The same for answers that are long enough to be streamed, and for answers without a body. */
+    @ParameterizedTest
+    @ValueSource(strings = {"GET", "HEAD"})
+    void passesOnNoLongAnswerWithAnUnknownStatus(String method) {
+        IntStream.range(0, NODES).forEach(index -> fleet.upstream(index)
+                .setHandler(exchange -> exchange.respond(new HttpResponseData(
+                        600,
+                        List.of(
+                                new HttpHeader(
+                                        "X-Request",
+                                        exchange.request().header("X-Request").orElse("")),
+                                new HttpHeader("X-Signature", "signed")),
+                        new byte[1 << 20]))));
+        List<Integer> statuses = IntStream.range(0, 6)
+                .map(request -> send(method, EngineFleet.LOOKUP_PATH).status())
+                .boxed()
+                .distinct()
+                .toList();
+        assertThat(statuses, is(List.of(502)));
+    }
+
     @Test
     void repeatsABookingWhoseMarkedResponseSaysThatItHasNotRun() {
         fleet.upstream(0)
--- a/engine/src/test/java/org/sardineshunt/engine/http/HttpClientTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/http/HttpClientTest.java
@@ -3,9 +3,11 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 
@@ -16,6 +18,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sardineshunt.engine.http.HttpOutcome.Failed;
 import org.sardineshunt.engine.http.HttpOutcome.FailureKind;
@@ -118,6 +121,41 @@
         }
     }
 
+    /** Guards against taking such heads for answers (MIXED) whatever the method and even if a long answer may be streamed. */
+    @ParameterizedTest
+    @CsvSource({
+        "GET, HTTP/1.1 000 OK, Content-Length: 1000000",
+        "GET, HTTP/1.1 000 OK, Transfer-Encoding: chunked",
+        "GET, HTTP/1.1 000 OK, X-Without-Length: 1",
+        "HEAD, HTTP/1.1 000 OK, Content-Length: 4",
+        "HEAD, HTTP/1.1 000 OK, Content-Length: 1000000",
+        "GET, HTTP/1.1 101 Switching Protocols, Upgrade: other",
+        "HEAD, HTTP/1.1 101 Switching Protocols, Upgrade: other",
+        "GET, HTTP/1.1 101 Switching Protocols, Content-Length: 4",
+        "GET, HTTP/1.1 199 Final, Content-Length: 4",
+    })
+    void failsACallWhoseAnswerHasNoFinalStatus(String method, String statusLine, String field) throws Exception {
+        RawServer.Script script = connection -> {
+            connection.readRequest();
+            connection.write("HTTP/1.1 100 Continue\r\n\r\n");
+            connection.write(statusLine + "\r\nX-Request: 1\r\n" + field + "\r\n\r\ndone\r\n");
+            connection.readRequest();
+        };
+        AtomicBoolean streamed = new AtomicBoolean();
+        CallStreams streams = new CallStreams(Optional.empty(), head -> true, response -> streamed.set(true));
+        CompletableFuture<HttpOutcome> outcome = new CompletableFuture<>();
+        try (RawServer server = new RawServer(script)) {
+            client.send(
+                    server.address(),
+                    new HttpRequestData(method, "/", List.of(new HttpHeader(ECHOED_HEADER, "1")), new byte[0]),
+                    new HttpClient.Options(20_000, 10_000),
+                    streams,
+                    outcome::complete);
+            assertThat(((Failed) outcome.join()).kind(), is(FailureKind.MALFORMED));
+            assertThat("streamed", streamed.get(), is(false));
+        }
+    }
+
     @Test
     void limitsTheBytesOfAllResponsesTogether() throws Exception {
         HttpClient sharingClient = new HttpClient((EventLoop) eventLoops.next(), "", Integer.MAX_VALUE);
