Refuse a status that HTTP doesn't define on the project's own interface

Cause: its HTTP library takes any three digits for a status.

Change: a status outside 200 to 599 is answered as MAY_HAVE_RUN, and the connection is dropped, since what follows such a head can't be trusted either.

--- a/node/src/main/java/org/sardineshunt/node/backendserver/BackendServerClient.java
+++ b/node/src/main/java/org/sardineshunt/node/backendserver/BackendServerClient.java
@@ -50,6 +50,9 @@
             "accept-encoding",
             "expect");
 
+    private static final int MINIMUM_FINAL_STATUS = 200;
+    private static final int MAXIMUM_STATUS = 599;
+
     private static final int MAXIMUM_CONCURRENT_CALLS = 4_096;
     private static final int MAXIMUM_IDLE_CONNECTIONS = 64;
     private static final int KEEP_ALIVE_SECONDS = 30;
@@ -107,6 +110,15 @@
             @Override
             public void onResponse(Call call, Response response) {
                 try (response) {
+                    if (!isFinalStatus(response.code())) {
+                        // What follows such a head can't be trusted either.
+                        call.cancel();
+                        result.complete(Answers.failure(
+                                Verdict.MAY_HAVE_RUN,
+                                Reason.ANSWER_CROSSED,
+                                "the answer has status " + response.code()));
+                        return;
+                    }
                     result.complete(readAnswer(response, content));
                 } catch (IOException failure) {
                     result.complete(cutOffAnswer(failure));
@@ -147,6 +159,11 @@
                 .build();
     }
 
+    // The HTTP library takes any three digits for a status.
+    private static boolean isFinalStatus(int status) {
+        return status >= MINIMUM_FINAL_STATUS && status <= MAXIMUM_STATUS;
+    }
+
     private Answer readAnswer(Response response, RequestContent content) throws IOException {
         String answeredRequestId = response.header(REQUEST_ID_HEADER);
         if (answeredRequestId != null && !answeredRequestId.equals(content.getRequestId())) {
--- a/node/src/test/java/org/sardineshunt/node/backendserver/BackendServerClientTest.java
+++ b/node/src/test/java/org/sardineshunt/node/backendserver/BackendServerClientTest.java
@@ -8,6 +8,8 @@
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sardineshunt.coordination.Reason;
 import org.sardineshunt.coordination.Verdict;
 import org.sardineshunt.node.Answers;
@@ -73,6 +75,16 @@
                 Reason.ANSWER_TOO_LARGE);
     }
 
+    /** Guards against passing on a status that is none (MIXED): the HTTP library takes any three digits. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "099", "101", "600", "999"})
+    void answerWithoutAFinalStatusIsNotForwarded(String status) throws IOException {
+        assertOutcome(
+                callServerThatSends("HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\nok"),
+                Verdict.MAY_HAVE_RUN,
+                Reason.ANSWER_CROSSED);
+    }
+
     @Test
     void shedRequestHasNotRun() throws IOException {
         assertOutcome(
