Take only 4xx and 503 for a refusal of the platform

What callers saw: nothing yet; found beside the status of 000. A write to the platform of the project's own node counted as refused if its answer had a status below 500 that is no success, also 000, although it may have been performed. An intent could so be reported as not accepted while in force.

Cause: PlatformClient took every status below 500 for a refusal.

Change: only 4xx and 503 prove that nothing was written; any other status without success leaves the outcome unknown, and the caller reads it back.

--- a/node/src/main/java/org/sardineshunt/node/platform/PlatformClient.java
+++ b/node/src/main/java/org/sardineshunt/node/platform/PlatformClient.java
@@ -19,8 +19,8 @@
 public final class PlatformClient implements AutoCloseable {
     private static final MediaType JSON = MediaType.get("application/json");
     private static final int HTTP_CONFLICT = 409;
-    private static final int HTTP_TOO_MANY_REQUESTS = 429;
-    private static final int HTTP_GATEWAY_TIMEOUT = 504;
+    private static final int HTTP_CLIENT_ERROR_CLASS = 4;
+    private static final int HTTP_UNAVAILABLE = 503;
 
     private final String baseUrl;
     private final OkHttpClient client;
@@ -110,11 +110,9 @@
             result.complete(content);
             return;
         }
-        // 503 means that the write was refused; after any other server error its outcome is unknown.
-        boolean mayHaveTakenEffect = write
-                && response.code() >= 500
-                && response.code() != HTTP_TOO_MANY_REQUESTS
-                && (response.code() == HTTP_GATEWAY_TIMEOUT || response.code() != 503);
+        // Other statuses, also those that HTTP doesn't define, leave the outcome of a write unknown.
+        boolean refused = response.code() / 100 == HTTP_CLIENT_ERROR_CLASS || response.code() == HTTP_UNAVAILABLE;
+        boolean mayHaveTakenEffect = write && !refused;
         result.completeExceptionally(
                 new PlatformFailure(mayHaveTakenEffect, "platform answered with status " + response.code()));
     }
