Drop what a call has received when it ends

Cause: a failed call gave its reserved memory back, but its connection kept the buffer with up to 4 MiB, and the home's timers keep the call until the attempt's deadline. A heap dump had 60 MB in 144 buffers of 149 connections, for an upstream with 8 slots.

Change: closing a connection drops the head and the body that it has received. The budget then counts all that is reachable, and its limits hold again.

--- a/engine/src/main/java/org/sardineshunt/engine/http/ClientConnection.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/ClientConnection.java
@@ -152,7 +152,10 @@
         }
     }
 
+    /** Closes the connection and discards what was received. The caller may keep the ended call, and with it this object. */
     void close() {
+        head = null;
+        body = null;
         if (channel != null) {
             channel.close();
         }
