Cancel the timers of an attempt when it ends

What callers saw: nothing reported; found on the path beside the responses without end. Sixteen callers that posted bodies of 400 KB one after the other ended a node with a heap of 64 MB within 5 s (LOST), without any fault of an upstream.

Cause: the timers for the deadline of a waiting attempt and for an overdue one were never cancelled. Until they fired, up to 30 s later, they kept the ended attempt with the body of its request, which no budget counted any more.

Change: PendingAttempt holds its timers and cancels them when it ends or is abandoned.

--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/HomeService.java
@@ -185,10 +185,11 @@
             start(pending);
         } else {
             double neededMillis = Math.max(MINIMUM_SERVICE_MILLIS, serviceMillis);
-            control.after((long) Math.max(1, attempt.getLeftMillis() - neededMillis), () -> refuseIfWaiting(pending));
+            pending.addTimer(control.after(
+                    (long) Math.max(1, attempt.getLeftMillis() - neededMillis), () -> refuseIfWaiting(pending)));
             long millisUntilLate = (long) (item.dueMillis() - now - serviceMillis);
             if (millisUntilLate > 0 && item.dueMillis() < item.deadlineMillis()) {
-                control.after(millisUntilLate + 1, () -> recheckLateAttempt(pending));
+                pending.addTimer(control.after(millisUntilLate + 1, () -> recheckLateAttempt(pending)));
             }
         }
         listener.loadChanged();
@@ -219,7 +220,10 @@
             case RUNNING -> pendingAttempts.find(id).orElseThrow().addListener(onAnswer);
             case FORGOTTEN -> onAnswer.accept(UpstreamHttpMapper.unknownOutcome());
             default -> {
-                pendingAttempts.remove(id).ifPresent(waiting -> queue.remove(waiting.queueId()));
+                pendingAttempts.remove(id).ifPresent(waiting -> {
+                    queue.remove(waiting.queueId());
+                    waiting.abandon();
+                });
                 onAnswer.accept(UpstreamHttpMapper.failureAnswer(Verdict.NOT_RUN, Reason.ABANDONED, false)
                         .setLoad(createLoadReport())
                         .build());
@@ -413,7 +417,7 @@
         queue.removeIfExpectedToMissDeadline(control.nowMillis(), id)
                 .ifPresent(removed -> refuse(pending, Reason.DEADLINE_SLACK));
         if (queue.isWaiting(id)) {
-            control.after(LATE_RECHECK_MILLIS, () -> recheckLateAttempt(pending));
+            pending.addTimer(control.after(LATE_RECHECK_MILLIS, () -> recheckLateAttempt(pending)));
         }
     }
 
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/PendingAttempt.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/PendingAttempt.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 
+import org.sardineshunt.coordination.TimerService;
 import org.sardineshunt.coordination.idempotency.AttemptId;
 import org.sardineshunt.engine.AttemptStreams;
 import org.sardineshunt.engine.http.HttpClient;
@@ -17,6 +18,7 @@
     private final long arrivedMillis;
     private final AttemptStreams streams;
     private final List<Consumer<Answer>> listeners = new ArrayList<>();
+    private final List<TimerService.Timer> timers = new ArrayList<>();
     private HttpClient.Call call;
     private long startedMillis;
     private String upstreamId = "";
@@ -106,9 +108,25 @@
         listeners.add(listener);
     }
 
-    /** Passes the answer to all listeners. */
-    void complete(Answer answer) {
+    /** Adds a timer that is cancelled when the attempt ends; until it fires it keeps the attempt with its body alive. */
+    void addTimer(TimerService.Timer timer) {
+        if (completed) {
+            timer.cancel();
+        } else {
+            timers.add(timer);
+        }
+    }
+
+    /** Ends an attempt that nobody waits for. */
+    void abandon() {
         completed = true;
+        timers.forEach(TimerService.Timer::cancel);
+        timers.clear();
+    }
+
+    /** Ends the attempt and passes the answer to all listeners. */
+    void complete(Answer answer) {
+        abandon();
         listeners.forEach(listener -> listener.accept(answer));
     }
 }
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamMonitor.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/UpstreamMonitor.java
@@ -117,12 +117,12 @@
         }
         // A new start of the upstream replaces the health; attempts of the earlier start don't count for it.
         UpstreamHealth watchedHealth = health;
-        control.after(targetMillis + 1, () -> {
+        pending.addTimer(control.after(targetMillis + 1, () -> {
             if (watchedHealth == health && pending.tryMarkOverdue(control.nowMillis(), targetMillis)) {
                 updateBaseline(pending.attempt());
                 recordEvidence(() -> health.recordOverdue(control.nowMillis()));
             }
-        });
+        }));
     }
 
     /**
