Limit the bytes that a call of the project's own node receives

A backend server that sends the size of a chunk or its extension without end filled the memory of the node, and so did a response of the platform without end.

Cause: OkHttp limits heads and trailers, but collects the line of a chunk's size whatever its length. PlatformClient read bodies of any length.

Change: both clients use sockets that count the bytes of each call and fail it beyond a limit, also in places that the library doesn't limit.

--- a/node/src/main/java/org/sardineshunt/node/backendserver/BackendServerClient.java
+++ b/node/src/main/java/org/sardineshunt/node/backendserver/BackendServerClient.java
@@ -12,6 +12,7 @@
 import com.google.protobuf.ByteString;
 import okhttp3.Call;
 import okhttp3.Callback;
+import okhttp3.Connection;
 import okhttp3.ConnectionPool;
 import okhttp3.Dispatcher;
 import okhttp3.EventListener;
@@ -23,6 +24,8 @@
 import okio.BufferedSource;
 import org.sardineshunt.coordination.Reason;
 import org.sardineshunt.coordination.Verdict;
+import org.sardineshunt.kit.LimitedSocketFactory;
+import org.sardineshunt.kit.LimitedSocketFactory.LimitExceededException;
 import org.sardineshunt.node.Answers;
 import org.sardineshunt.protocol.PeerMessages.Answer;
 import org.sardineshunt.protocol.PeerMessages.Header;
@@ -53,6 +56,9 @@
     private static final int MINIMUM_FINAL_STATUS = 200;
     private static final int MAXIMUM_STATUS = 599;
 
+    // For the head and the trailers. Chunk sizes may need as many bytes as the body.
+    private static final int MAXIMUM_OVERHEAD_BYTES = 512 << 10;
+
     private static final int MAXIMUM_CONCURRENT_CALLS = 4_096;
     private static final int MAXIMUM_IDLE_CONNECTIONS = 64;
     private static final int KEEP_ALIVE_SECONDS = 30;
@@ -77,6 +83,7 @@
                 .connectTimeout(CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                 // The timeout of the whole call bounds its reads.
                 .readTimeout(0, TimeUnit.MILLISECONDS)
+                .socketFactory(new LimitedSocketFactory(2L * maximumBodyBytes + MAXIMUM_OVERHEAD_BYTES))
                 .retryOnConnectionFailure(false)
                 .followRedirects(false)
                 .eventListenerFactory(RequestSentListener::new)
@@ -198,6 +205,9 @@
     }
 
     private static Answer failureAnswer(IOException failure, boolean requestSent) {
+        if (failure instanceof LimitExceededException) {
+            return tooLargeAnswer(failure);
+        }
         boolean timedOut = failure instanceof InterruptedIOException;
         if (!requestSent) {
             // A connect timeout is a SocketTimeoutException; the timeout of the whole call is not.
@@ -215,7 +225,14 @@
                 .build();
     }
 
+    private static Answer tooLargeAnswer(IOException failure) {
+        return Answers.failure(Verdict.MAY_HAVE_RUN, Reason.ANSWER_TOO_LARGE, String.valueOf(failure.getMessage()));
+    }
+
     private static Answer cutOffAnswer(IOException failure) {
+        if (failure instanceof LimitExceededException) {
+            return tooLargeAnswer(failure);
+        }
         Reason reason = failure instanceof InterruptedIOException ? Reason.DEADLINE_PASSED : Reason.ANSWER_CUT;
         return Answers.failure(Verdict.MAY_HAVE_RUN, reason, "answer cut off: " + failure.getMessage());
     }
@@ -228,6 +245,11 @@
             requestSent = call.request().tag(AtomicBoolean.class);
         }
 
+        @Override
+        public void connectionAcquired(Call call, Connection connection) {
+            LimitedSocketFactory.startCall(connection);
+        }
+
         @Override
         public void requestHeadersStart(Call call) {
             requestSent.set(true);
--- a/node/src/main/java/org/sardineshunt/node/platform/PlatformClient.java
+++ b/node/src/main/java/org/sardineshunt/node/platform/PlatformClient.java
@@ -8,16 +8,20 @@
 
 import okhttp3.Call;
 import okhttp3.Callback;
+import okhttp3.Connection;
+import okhttp3.EventListener;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
 import org.sardineshunt.kit.Json;
+import org.sardineshunt.kit.LimitedSocketFactory;
 
 /** HTTP client of the platform's table service and object store. Thread-safe; futures complete on its own threads. */
 public final class PlatformClient implements AutoCloseable {
     private static final MediaType JSON = MediaType.get("application/json");
+    private static final int MAXIMUM_RESPONSE_BYTES = 32 << 20;
     private static final int HTTP_CONFLICT = 409;
     private static final int HTTP_CLIENT_ERROR_CLASS = 4;
     private static final int HTTP_UNAVAILABLE = 503;
@@ -30,6 +34,8 @@
         this.baseUrl = baseUrl;
         this.client = new OkHttpClient.Builder()
                 .callTimeout(timeout)
+                .socketFactory(new LimitedSocketFactory(MAXIMUM_RESPONSE_BYTES))
+                .eventListener(new CallStartListener())
                 .retryOnConnectionFailure(false)
                 .build();
     }
@@ -127,4 +133,11 @@
     private static String urlEncode(String text) {
         return URLEncoder.encode(text, StandardCharsets.UTF_8);
     }
+
+    private static final class CallStartListener extends EventListener {
+        @Override
+        public void connectionAcquired(Call call, Connection connection) {
+            LimitedSocketFactory.startCall(connection);
+        }
+    }
 }
--- a/node/src/test/java/org/sardineshunt/node/backendserver/BackendServerClientTest.java
+++ b/node/src/test/java/org/sardineshunt/node/backendserver/BackendServerClientTest.java
@@ -5,6 +5,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -18,11 +20,13 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 class BackendServerClientTest {
     private static final int MAXIMUM_BODY_BYTES = 64;
     private static final long LONG_DEADLINE_MILLIS = 5_000;
     private static final long SHORT_DEADLINE_MILLIS = 200;
+    private static final long LIMIT_OF_SENT_BYTES = 64L << 20;
 
     private final BackendServerClient client = new BackendServerClient(MAXIMUM_BODY_BYTES);
     private ServerSocket server;
@@ -85,6 +89,51 @@
                 Reason.ANSWER_CROSSED);
     }
 
+    /** Guards against bytes without end (LOST), which the HTTP library collects in some places whatever their number. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "|x",
+                "HTTP/1.1 200 |a",
+                "HTTP/1.1 200 OK\r\nX-Long: |a",
+                "HTTP/1.1 200 OK\r\n|a:b\r\n",
+                "|HTTP/1.1 100 Continue\r\n\r\n",
+                "HTTP/1.1 200 OK\r\n\r\n|x",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n|0",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;|x",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n|a:b\r\n",
+                "HTTP/1.1 503 Busy\r\nSardineshunt-Request-Id: own\r\nSardineshunt-Verdict: not-run\r\n\r\n|x"
+            })
+    void answerWithoutEndIsCutOff(String answer) throws Exception {
+        server = new ServerSocket(0);
+        CompletableFuture<Long> sentBytes = CompletableFuture.supplyAsync(() -> sendWithoutEnd(answer));
+
+        Answer received = call(server.getLocalPort(), LONG_DEADLINE_MILLIS);
+
+        assertThat(Answers.verdict(received), is(Verdict.MAY_HAVE_RUN));
+        // Also counts what the buffers of the sockets hold.
+        assertThat(sentBytes.get(10, TimeUnit.SECONDS), lessThan(LIMIT_OF_SENT_BYTES));
+    }
+
+    // Returns the number of bytes sent until the client closed the connection, or the limit.
+    private long sendWithoutEnd(String answer) {
+        byte[] repeated =
+                answer.substring(answer.indexOf('|') + 1).repeat(1_000).getBytes(StandardCharsets.US_ASCII);
+        long sent = 0;
+        try (Socket socket = server.accept()) {
+            socket.getInputStream().read(new byte[4_096]);
+            socket.getOutputStream()
+                    .write(answer.substring(0, answer.indexOf('|')).getBytes(StandardCharsets.US_ASCII));
+            while (sent < LIMIT_OF_SENT_BYTES) {
+                socket.getOutputStream().write(repeated);
+                sent += repeated.length;
+            }
+        } catch (IOException closedByClient) {
+            return sent;
+        }
+        return sent;
+    }
+
     @Test
     void shedRequestHasNotRun() throws IOException {
         assertOutcome(
