--- a/engine/src/main/java/org/sardineshunt/engine/UpstreamRestorer.java
+++ b/engine/src/main/java/org/sardineshunt/engine/UpstreamRestorer.java
@@ -16,9 +16,10 @@
 
 /**
  * Restores the upstream of a restarted process from this node's row. The process before may have acknowledged a departure
- * that the table doesn't have, so a row that says ready is used only if nodes that had a link to that process know of no
- * departure; otherwise the upstream's next announcement decides. Until then announcements are held that would make an
- * upstream ready which may have left before, because they may be late. Confined to the control thread.
+ * that the table doesn't have, so other nodes are asked for one, and a row that says ready is used only if nodes that had
+ * a link to that process know of none; otherwise the upstream's next announcement decides. Until then announcements are
+ * held that would make an upstream ready which may have left before, because they may be late. Confined to the control
+ * thread.
  */
 final class UpstreamRestorer {
     // Copies of a departure go to all nodes, so these many are enough to ask.
@@ -33,6 +34,8 @@
     private final NodeDirectory directory;
     private final FleetHomeClient peers;
     private final Listener listener;
+
+    // The newest of each start, in the order of arrival.
     private final List<Announcement> heldAnnouncements = new ArrayList<>();
     private final List<Runnable> heldAcknowledgements = new ArrayList<>();
     private int nodesWithoutDeparture;
@@ -58,8 +61,8 @@
     }
 
     /**
-     * Returns whether an announcement must wait until the upstream is restored. One that leaves is never too early, and the
-     * process before can't have acknowledged the departure of an upstream that started after this process.
+     * Returns whether an announcement must wait until the upstream is restored. One that leaves is never too early, and
+     * the process before can't have acknowledged the departure of an upstream that started after this process.
      */
     boolean mustHold(Announcement announcement) {
         return !completed
@@ -119,7 +122,7 @@
                 query,
                 ANSWER_TIMEOUT_MILLIS,
                 answer -> handleAnswer(stored, previousIncarnation.isPresent(), answer),
-                () -> handleEnd(stored));
+                () -> conclude(stored));
     }
 
     private void handleAnswer(Optional<Announcement> stored, boolean hadPreviousProcess, Answer answer) {
@@ -131,7 +134,7 @@
             complete();
         } else if ((answer.getKnewPreviousProcess() || !hadPreviousProcess)
                 && ++nodesWithoutDeparture == SUFFICIENT_ANSWERS) {
-            handleEnd(stored);
+            conclude(stored);
         }
     }
 
@@ -147,7 +150,7 @@
                 .toJavaOptional();
     }
 
-    private void handleEnd(Optional<Announcement> stored) {
+    private void conclude(Optional<Announcement> stored) {
         if (completed) {
             return;
         }
--- a/engine/src/main/java/org/sardineshunt/engine/backendserver/PendingAttempt.java
+++ b/engine/src/main/java/org/sardineshunt/engine/backendserver/PendingAttempt.java
@@ -108,7 +108,7 @@
         listeners.add(listener);
     }
 
-    /** Adds a timer that is cancelled when the attempt ends; until it fires it keeps the attempt with its body alive. */
+    /** Adds a timer that is cancelled when the attempt ends, since it would keep the attempt with its body alive. */
     void addTimer(TimerService.Timer timer) {
         if (completed) {
             timer.cancel();
--- a/engine/src/main/java/org/sardineshunt/engine/http/ClientConnection.java
+++ b/engine/src/main/java/org/sardineshunt/engine/http/ClientConnection.java
@@ -152,7 +152,7 @@
         }
     }
 
-    /** Closes the connection and discards what was received. The caller may keep the ended call, and with it this object. */
+    /** Closes the connection and discards what was received, since the caller may keep the ended call. */
     void close() {
         head = null;
         body = null;
--- a/engine/src/main/java/org/sardineshunt/engine/peer/NodeDirectory.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/NodeDirectory.java
@@ -112,8 +112,8 @@
     }
 
     /**
-     * Returns the row that an earlier process of this node stored, if there was one at the first read; always empty before
-     * {@link #isLoaded}.
+     * Returns the row that an earlier process of this node stored, if there was one at the first read; always empty
+     * before {@link #isLoaded}.
      */
     public Optional<KnownNode> storedOwnNode() {
         return Optional.ofNullable(storedOwnNode);
--- a/engine/src/test/java/org/sardineshunt/engine/EngineDepartureTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineDepartureTest.java
@@ -135,8 +135,8 @@
     }
 
     /**
-     * Guards against forgetting a stored leave (DRAIN): records of other nodes arrived before the table could be read, and a
-     * late announcement after it.
+     * Guards against forgetting a stored leave (DRAIN): records of other nodes arrived before the table could be read,
+     * and a late announcement after it.
      */
     @Test
     void aStoredLeaveOutlivesARestartInAnOutageOfTheTable() {
@@ -178,7 +178,7 @@
         assertThat(storedPhase(1), is(Phase.LEFT));
     }
 
-    /** An upstream that started after the process needs no row: no process before can have acknowledged its departure. */
+    /** No process before can have acknowledged the departure of an upstream that started after this process. */
     @Test
     void usesAnUpstreamThatStartsAfterTheProcessDuringAnOutageOfTheTable() {
         Engine restarted = restartInOutageAfterStoredLeave();
@@ -201,8 +201,8 @@
     }
 
     /**
-     * Guards against forgetting an acknowledged leave (DRAIN) that only other nodes know, because the row still has the leave of
-     * the upstream before.
+     * Guards against forgetting an acknowledged leave (DRAIN) that only other nodes know, because the row still has the
+     * leave of the upstream before.
      */
     @Test
     void aLeaveThatOnlyOtherNodesKnowOutlivesTheProcessIfTheRowHasAnEarlierOne() {
--- a/engine/src/test/java/org/sardineshunt/engine/http/HttpClientTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/http/HttpClientTest.java
@@ -121,7 +121,7 @@
         }
     }
 
-    /** Guards against taking such heads for answers (MIXED) whatever the method and even if a long answer may be streamed. */
+    /** Guards against taking such heads for answers (MIXED), also to HEAD and where an answer may be streamed. */
     @ParameterizedTest
     @CsvSource({
         "GET, HTTP/1.1 000 OK, Content-Length: 1000000",
--- a/node/src/test/java/org/sardineshunt/node/backendserver/BackendServerClientTest.java
+++ b/node/src/test/java/org/sardineshunt/node/backendserver/BackendServerClientTest.java
@@ -89,7 +89,7 @@
                 Reason.ANSWER_CROSSED);
     }
 
-    /** Guards against bytes without end (LOST), which the HTTP library collects in some places whatever their number. */
+    /** Guards against bytes without end (LOST), some of which the HTTP library collects without a limit. */
     @ParameterizedTest
     @ValueSource(
             strings = {
--- a/service-kit/src/main/java/org/sardineshunt/kit/LimitedSocketFactory.java
+++ b/service-kit/src/main/java/org/sardineshunt/kit/LimitedSocketFactory.java
@@ -14,8 +14,8 @@
 import okhttp3.Connection;
 
 /**
- * Creates sockets for an HTTP client that fail a call which receives too many bytes, head, chunk sizes and trailers included. OkHttp
- * limits heads, but collects the line of a chunk's size whatever its length. Thread-safe.
+ * Creates sockets for an HTTP client that fail a call which receives too many bytes, head, chunk sizes and trailers
+ * included. OkHttp limits heads, but collects the line of a chunk's size whatever its length. Thread-safe.
  *
  * <pre>{@code
  * builder.socketFactory(new LimitedSocketFactory(maximumBytes));
