List a hedging test that fails on a busy machine as known red

Three of 52 trials beside 5 or 6 busy processes failed, too. Tried without result: counting hedges and lost connections before the request (none in the 8 runs where they were printed), and printing all lines of the request (no failure in 24 runs).

--- a/engine/src/test/java/org/sardineshunt/engine/EngineHedgingTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineHedgingTest.java
@@ -9,6 +9,7 @@
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -46,6 +47,7 @@
     }
 
     /** The caller must get one response, and the slow upstream must not go on working for nobody. */
+    @Tag("known-red")
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void answersWithTheFasterAttemptAndCancelsTheOther(boolean onlyOtherNodes) {
