--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review-3
 mkdir -p target/review-3
-javac --release 17 -d target/review-3 review/harness-3/*.java
+javac --release 17 -encoding UTF-8 -d target/review-3 review/harness-3/*.java
--- a/review/harness-3/OlderCopy.java
+++ b/review/harness-3/OlderCopy.java
@@ -19,7 +19,10 @@
     private static final long COPY_AGE_MILLIS = 2_000;
     private static final long AWAY_MILLIS = 500;
     private static final long STABILITY_MILLIS = 3_000;
-    private static final long OBSERVED_MILLIS = 12_000;
+
+    // The site's days have upstreams that stay so long after they said that they leave.
+    private static final long STAY_MILLIS = 15_000;
+    private static final long OBSERVED_MILLIS = 1_500;
 
     private final Record record;
     private final AtomicLong acknowledgedMillis = new AtomicLong(Long.MAX_VALUE);
@@ -77,6 +80,9 @@
         node.start();
         inTouchMillis.set(record.millis() + STABILITY_MILLIS);
         Case.require(node.awaitReady(20_000), "the node is ready again");
+        Threads.sleep(Math.max(0, acknowledgedMillis.get() + STAY_MILLIS - record.millis()));
+        upstreams.get(1).close();
+        record.write("upstream i-booking-1 exits");
         Threads.sleep(OBSERVED_MILLIS);
         stopped = true;
         record.show("successes " + served + ", other ends " + others + "; requests of machines in touch that reached"
