--- a/review/harness-3/Store.java
+++ b/review/harness-3/Store.java
@@ -34,6 +34,7 @@
     private long historyFrom = 100;
     private long era = 1;
     private boolean down;
+    private volatile boolean silent;
     private volatile boolean closed;
 
     Store(InetAddress address, int port, Record record) throws IOException {
@@ -75,6 +76,15 @@
         notifyAll();
     }
 
+    /**
+     * Gives no response, or gives responses again. A connection on which a response was lost delivers nothing further;
+     * other ones and new ones are answered after the silence.
+     */
+    void setSilent(boolean newSilent) {
+        silent = newSilent;
+        record.write(newSilent ? "store gives no response" : "store responds again");
+    }
+
     synchronized long version() {
         return counter;
     }
@@ -115,8 +125,17 @@
         try (socket) {
             InputStream in = new BufferedInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
+            boolean lost = false;
             for (HttpMessage request = HttpMessage.read(in); request != null; request = HttpMessage.read(in)) {
+                if (lost || silent) {
+                    lost = true;
+                    continue;
+                }
                 Answer answer = answer(request);
+                if (silent) {
+                    lost = true;
+                    continue;
+                }
                 if (isDown()) {
                     return;
                 }
