--- a/review/harness-3/Case.java
+++ b/review/harness-3/Case.java
@@ -22,7 +22,7 @@
                         node -> node.process().destroyForcibly())));
                 status = steps.hold(fleet, record, trouble) ? 0 : 1;
                 record.show(status == 0 ? "the rule held" : "THE RULE WAS BROKEN");
-            } catch (Exception failure) {
+            } catch (Exception | LinkageError failure) {
                 record.show("the case could not run: " + failure);
                 failure.printStackTrace();
             }
--- a/review/harness-3/Client.java
+++ b/review/harness-3/Client.java
@@ -8,7 +8,7 @@
 /** A client's connection to the node of its machine. Not thread-safe. */
 final class Client implements AutoCloseable {
     private final Socket socket = new Socket();
-    private InputStream in;
+    private final InputStream in;
 
     Client(InetSocketAddress address, int timeoutMillis) throws IOException {
         socket.connect(address, 1_000);
@@ -22,24 +22,6 @@
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
-    /** Lets this client pause after each read of at most the given number of bytes. */
-    void readSlowly(int bytes, long pauseMillis) throws IOException {
-        InputStream fast = socket.getInputStream();
-        in = new BufferedInputStream(new InputStream() {
-            @Override
-            public int read() throws IOException {
-                return fast.read();
-            }
-
-            @Override
-            public int read(byte[] target, int offset, int length) throws IOException {
-                int count = fast.read(target, offset, Math.min(bytes, length));
-                Threads.sleep(pauseMillis);
-                return count;
-            }
-        }, bytes);
-    }
-
     /** Returns the next answer; null if the connection ends first. */
     HttpMessage receive() throws IOException {
         return HttpMessage.read(in);
@@ -52,8 +34,8 @@
 
     /** Returns a request with a body; each char of the target is one byte. */
     static String request(String method, String target, String host, String attempt, long left, String body) {
-        return method + ' ' + target + " HTTP/1.1\r\nHost: " + host + "\r\nX-Attempt-Id: " + attempt
-                + "\r\nX-Deadline-Remaining: " + left + "\r\n"
+        return method + ' ' + target + " HTTP/1.1\r\nHost: " + host + "\r\n" + Wire.REQUEST_ID + ": " + attempt
+                + "\r\n" + Wire.TIME_LEFT + ": " + left + "\r\n"
                 + (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n") + "\r\n" + body;
     }
 
--- a/review/harness-3/Fleet.java
+++ b/review/harness-3/Fleet.java
@@ -172,7 +172,7 @@
                 socket.connect(new InetSocketAddress(host(index), READY_PORT), 1_000);
                 socket.setSoTimeout(1_000);
                 socket.getOutputStream()
-                        .write("GET /v1/readiness HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n"
+                        .write(("GET " + Wire.READINESS + " HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n")
                                 .getBytes(StandardCharsets.ISO_8859_1));
                 HttpMessage answer = HttpMessage.read(new BufferedInputStream(socket.getInputStream()));
                 return answer != null && answer.status() == 200;
--- a/review/harness-3/SilentStore.java
+++ b/review/harness-3/SilentStore.java
@@ -71,7 +71,7 @@
     }
 
     private Upstream.Result run(String service, HttpMessage request) {
-        String attempt = request.header("X-Attempt-Id");
+        String attempt = request.header(Wire.REQUEST_ID);
         long sinceAcknowledged = sentMillis.getOrDefault(attempt, 0L) - acknowledgedMillis.get();
         if (sinceAcknowledged > APPLY_MILLIS) {
             if (service.equals("records")) {
@@ -101,7 +101,7 @@
         }
     }
 
-    private static String manifest(int version, int timeoutMillis, String service) {
+    static String manifest(int version, int timeoutMillis, String service) {
         return """
                 {"version":"rVERSION","routes":[
                 {"name":"r-look","host":"shop.example","prefix":"/look/","kind":"idempotent","timeout_ms":TIMEOUT,
--- a/review/harness-3/Store.java
+++ b/review/harness-3/Store.java
@@ -64,15 +64,18 @@
         connections.forEach(Threads::closeQuietly);
     }
 
-    /** Comes back from an older copy, in the next era. */
-    synchronized void comeBack(Copy copy) {
+    /** Comes back from an older copy, in the next era, after the operator has written its manifests again. */
+    synchronized void comeBack(Copy copy, String... manifests) {
         rows.clear();
         copy.rows().forEach((id, row) -> rows.put(id, (Row) row));
         counter = copy.counter();
         historyFrom = counter;
         era++;
-        down = false;
         record.write("store is back at version " + counter + ", era " + era);
+        for (String manifest : manifests) {
+            put("op", "config", manifest);
+        }
+        down = false;
         notifyAll();
     }
 
@@ -155,12 +158,13 @@
         String[] target = request.target().split("\\?", 2);
         Map<String, String> query = query(target.length > 1 ? target[1] : "");
         Thread.sleep(TRANSACTION_MILLIS);
-        return switch (target[0]) {
-            case "/v1/rows-tx" -> transact(new String(request.body(), StandardCharsets.UTF_8));
-            case "/v1/rows-get" -> get(query);
-            case "/v1/rows-feed" -> feed(query);
-            default -> new Answer(404, "{}", era);
-        };
+        if (target[0].equals(Wire.CHANGE_ROWS)) {
+            return transact(new String(request.body(), StandardCharsets.UTF_8));
+        }
+        if (target[0].equals(Wire.READ_ROWS)) {
+            return get(query);
+        }
+        return target[0].equals(Wire.FOLLOW_ROWS) ? feed(query) : new Answer(404, "{}", era);
     }
 
     @SuppressWarnings("unchecked")
--- a/review/harness-3/Upstream.java
+++ b/review/harness-3/Upstream.java
@@ -86,14 +86,27 @@
                 + "\",\"born\":" + bornMillis + ",\"information\":{\"service\":\"" + service
                 + "\",\"version\":\"v1\",\"zone\":\"kz-a\",\"slots\":" + slots + "},\"status\":{\"state\":\"" + state
                 + "\",\"sequence\":" + sequence.incrementAndGet() + ",\"warmup_remaining_ms\":0}}";
-        return call("instances.heartbeat", body);
+        return call(Wire.ANNOUNCE, body);
+    }
+
+    /** Stops the reports of {@link #startBeats}. */
+    void stopBeats() {
+        beating = false;
+    }
+
+    /** Sends a report under this upstream's identifier as another writer may: fields are missing. */
+    int foreignBeat(long foreignSequence) {
+        String body = "{\"address\":\"" + listener.getInetAddress().getHostAddress() + ':' + listener.getLocalPort()
+                + "\",\"born\":" + bornMillis + ",\"information\":{\"service\":\"" + service + "\",\"slots\":" + slots
+                + "},\"status\":{\"state\":\"ready\",\"sequence\":" + foreignSequence + "}}";
+        return call(Wire.ANNOUNCE, body);
     }
 
     /** Says that it leaves, until that is acknowledged; it goes on serving and reports nothing more. */
     boolean leave(int tries) {
         beating = false;
         for (int attempt = 0; attempt < tries; attempt++) {
-            if (call("instances.leave", "{\"born\":" + bornMillis + "}") == 200) {
+            if (call(Wire.LEAVE, "{\"born\":" + bornMillis + "}") == 200) {
                 return true;
             }
             Threads.sleep(200);
@@ -145,28 +158,29 @@
     }
 
     private void serve(HttpMessage request, OutputStream out) throws Exception {
-        String attempt = request.header("X-Attempt-Id");
-        String expected = request.header("X-Expected-Instance");
+        String attempt = request.header(Wire.REQUEST_ID);
+        String expected = request.header(Wire.EXPECTED_UPSTREAM);
         if (!expected.isEmpty() && !expected.equals(id)) {
-            write(out, 421, "X-Attempt-Id: " + attempt + "\r\nX-Instance-Id: " + id + "\r\n", new byte[0]);
+            write(out, 421, Wire.REQUEST_ID + ": " + attempt + "\r\nX-Instance-Id: " + id + "\r\n", new byte[0]);
             return;
         }
-        long left = Long.parseLong(request.headers().getOrDefault("x-deadline-remaining", "10000"));
+        long left = Long.parseLong(request.headers()
+                .getOrDefault(Wire.TIME_LEFT.toLowerCase(java.util.Locale.ROOT), "10000"));
         waiting.incrementAndGet();
         boolean started = free.tryAcquire(left, TimeUnit.MILLISECONDS);
         waiting.decrementAndGet();
         if (!started) {
-            write(out, 503, "X-Attempt-Id: " + attempt + "\r\nX-Not-Executed: 1\r\n", new byte[0]);
+            write(out, 503, Wire.REQUEST_ID + ": " + attempt + "\r\n" + Wire.NOT_RUN + ": 1\r\n", new byte[0]);
             return;
         }
         try {
             running.incrementAndGet();
             runs.incrementAndGet();
             record.write("upstream " + id + " runs " + attempt + " " + request.method() + " " + request.target()
-                    + " caller-service=" + request.header("X-Caller-Service"));
+                    + " caller-service=" + request.header(Wire.CALLER_SERVICE));
             Result result = work.run(request);
             Thread.sleep(result.millis());
-            String headers = "X-Attempt-Id: " + attempt + "\r\nX-Response-Signature: " + attempt + "."
+            String headers = Wire.REQUEST_ID + ": " + attempt + "\r\n" + Wire.SIGNATURE + ": " + attempt + "."
                     + result.body().length + "\r\nX-Server-Load: " + running.get() + "," + waiting.get() + "," + slots
                     + "\r\n";
             write(out, result.status(), headers, result.body());
