--- a/review/harness-3/OlderCopy.java
+++ b/review/harness-3/OlderCopy.java
@@ -97,7 +97,7 @@
     // node that was started again is in touch.
     private Upstream.Result run(String id, HttpMessage request) {
         long now = record.millis();
-        String attempt = request.header("X-Attempt-Id");
+        String attempt = request.header(Wire.REQUEST_ID);
         long sent = sentMillis.getOrDefault(attempt, 0L);
         if (id.equals("i-booking-1")
                 && sent > inTouchMillis.get()
