Follow the tables again soon after a silence of the store

A configuration that was written 4 s after that was in force nowhere for 27 s more; all nodes ran requests by the older one and answered 404 on routes that it added.

Cause, shown by the new log line of each call to the store: a call that waits for changes looks the same whether nothing has changed, its request was swallowed or its response was lost. All nodes wait from the same moment on, the last change, so all of their calls end in the same silence; each made the next one within it, which could fail only after 31.5 s. As no node had the new version, none could tell the others.

Change: - MonitoredTableStore logs each call and detects, from all results, that the store responds again after calls without a response (new failure kind UNANSWERED). Then the waiting calls of all tables are replaced (TableWatch). - After a call without a response the watch makes calls that are answered at once until one is. - The nodes of a fleet check the configuration table at a common rate (FleetWideRate, two calls a second, whatever the size), since a silence right behind a change swallows the calls of all nodes without any of them ending. Some nodes so notice it, and they tell the others of new configurations as before. - A node that hears of a configuration which its own call should have shown checks the table. - A table whose history stays lost is read again with pauses.

Weighed: short waits at every node (a call in two seconds a node and table, the largest price of the large sites), and a message about silences to all nodes, which isn't needed as long as those that noticed follow the table again.

--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -5,6 +5,8 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -38,7 +40,8 @@
 import org.sardineshunt.engine.peer.PeerNetwork;
 import org.sardineshunt.engine.platform.ConfigurationSource;
 import org.sardineshunt.engine.platform.ConfigurationTracker;
-import org.sardineshunt.engine.platform.TableStore;
+import org.sardineshunt.engine.platform.MonitoredTableStore;
+import org.sardineshunt.engine.platform.TableStore.Row;
 import org.sardineshunt.engine.protocol.EngineMessages.CrashReport;
 import org.sardineshunt.engine.protocol.EngineMessages.Frame;
 
@@ -74,17 +77,6 @@
     private static final long SHUTDOWN_QUIET_PERIOD_MILLIS = 50;
     private static final long SHUTDOWN_TIMEOUT_MILLIS = 500;
 
-    // Share of the heap that buffers bodies and responses, but at most the given share of the process's memory. The
-    // rest is for the engine's own objects and for the garbage between two collections.
-    private static final double BUFFER_SHARE_OF_HEAP = 0.4;
-    private static final double BUFFER_SHARE_OF_MEMORY = 0.25;
-
-    // Descriptors for files, and the share of the others that callers' connections may use. The rest is for links to
-    // other nodes, the store and the upstream.
-    private static final int RESERVED_DESCRIPTORS = 200;
-    private static final double CALLER_SHARE_OF_DESCRIPTORS = 0.7;
-    private static final int MINIMUM_CALLER_CONNECTIONS = 16;
-
     // Callers may take this long to notice that the node isn't ready, and send new requests until then.
     private static final long STOP_MAXIMUM_DETECTION_MILLIS = 2_300;
 
@@ -118,6 +110,7 @@
     private AnnouncementAcknowledger acknowledger;
     private UpstreamRestorer restorer;
     private PeerAddress ownAddress;
+    private ConfigurationWatch configurationWatch;
 
     /**
      * Creates an engine that doesn't listen yet.
@@ -135,7 +128,7 @@
                 new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("traffic"), NioIoHandler.newFactory());
         control = new ControlEventLoop((EventLoop) controlGroup.next(), log);
         MemoryEvents memoryEvents = new MemoryEvents(log, metrics);
-        memory = new MemoryBudget(bufferBytes(settings.resources()), memoryEvents);
+        memory = new MemoryBudget(ResourceShares.bufferBytes(settings.resources()), memoryEvents);
         upstreamClient = new HttpClient(
                 (EventLoop) trafficGroup.next(),
                 settings.headers().requestId(),
@@ -153,7 +146,10 @@
         callerServer = new HttpServer(
                 this::callerLimits,
                 new CallerRules(settings.headers(), this::configuration),
-                new ServerResources(memory, maximumConnections(settings.resources()), memoryEvents::connectionClosed),
+                new ServerResources(
+                        memory,
+                        ResourceShares.maximumConnections(settings.resources()),
+                        memoryEvents::connectionClosed),
                 exchange -> entry.handle(exchange));
         Stream.of(MemoryBudget.Kind.values())
                 .forEach(kind -> metrics.gauge("buffered_bytes", kind.label(), () -> memory.reservedBytes(kind)));
@@ -176,7 +172,7 @@
      * @param store table store of the platform
      * @return the port for callers
      */
-    public int start(TableStore store) {
+    public int start(MonitoredTableStore store) {
         return start(store, ConfigurationSource.NONE);
     }
 
@@ -187,7 +183,7 @@
      * @param source where the configuration is read again before a request is refused for its key
      * @return the port for callers
      */
-    public int start(TableStore store, ConfigurationSource source) {
+    public int start(MonitoredTableStore store, ConfigurationSource source) {
         configurationSource.setSource(source);
         directory = new NodeDirectory(control, log, store, settings.nodeId(), random, this::onDirectoryChanged);
         homeRegistry = new HomeRegistry(control, directory, settings.dataCentre(), network::isReachable);
@@ -235,6 +231,20 @@
         return callerPort;
     }
 
+    /**
+     * Follows the table that holds the configuration. Must be called after {@link #start}.
+     *
+     * @param changePauseMillis supplies the pause after each change
+     * @param onChanged receives new, changed and removed rows on the control thread
+     */
+    public void watchConfiguration(
+            MonitoredTableStore store, String table, LongSupplier changePauseMillis, Consumer<List<Row>> onChanged) {
+        control.execute(() -> {
+            configurationWatch = new ConfigurationWatch(control, log, directory, network::isReachable, random);
+            configurationWatch.start(store, table, changePauseMillis, onChanged);
+        });
+    }
+
     /** Puts a configuration in force unless the same version or a newer one is. */
     public void configure(FleetConfiguration received) {
         configure(received, new byte[0]);
@@ -359,17 +369,6 @@
         stopped.complete(null);
     }
 
-    private static long bufferBytes(EngineSettings.Resources resources) {
-        return (long) Math.min(
-                BUFFER_SHARE_OF_HEAP * Runtime.getRuntime().maxMemory(),
-                BUFFER_SHARE_OF_MEMORY * resources.memoryBytes());
-    }
-
-    private static int maximumConnections(EngineSettings.Resources resources) {
-        int shared = (int) (CALLER_SHARE_OF_DESCRIPTORS * (resources.fileDescriptors() - RESERVED_DESCRIPTORS));
-        return Math.max(MINIMUM_CALLER_CONNECTIONS, shared);
-    }
-
     private CallerLimits callerLimits() {
         return configuration.current().map(FleetConfiguration::limits).orElse(CallerLimits.DEFAULT);
     }
@@ -428,6 +427,9 @@
     }
 
     private void handleAdopted(FleetConfiguration adopted) {
+        if (configurationWatch != null) {
+            configurationWatch.expectChange();
+        }
         becomeReadyIfLoaded();
         if (started && adopted.accounts().isPresent()) {
             loadReporter.reportConfiguration(random);
--- a/engine/src/main/java/org/sardineshunt/engine/peer/NodeDirectory.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/NodeDirectory.java
@@ -17,9 +17,10 @@
 import org.sardineshunt.coordination.announcement.Announcement.Phase;
 import org.sardineshunt.engine.ControlEventLoop;
 import org.sardineshunt.engine.EventLog;
-import org.sardineshunt.engine.platform.TableStore;
+import org.sardineshunt.engine.platform.MonitoredTableStore;
 import org.sardineshunt.engine.platform.TableStore.Row;
 import org.sardineshunt.engine.platform.TableStore.TableFailure;
+import org.sardineshunt.engine.platform.TableVersion;
 import org.sardineshunt.engine.platform.TableWatch;
 import org.sardineshunt.engine.protocol.EngineMessages.NodeRecord;
 
@@ -46,7 +47,7 @@
 
     private final ControlEventLoop control;
     private final EventLog log;
-    private final TableStore store;
+    private final MonitoredTableStore store;
     private final String ownId;
     private final Runnable onChanged;
     private final TableWatch watch;
@@ -59,7 +60,7 @@
     private boolean firstReadDone;
     private boolean writeInProgress;
     private boolean updateScheduled;
-    private long ownRowVersion;
+    private TableVersion ownRowVersion = TableVersion.NONE;
     private long ownSequence;
     private long startedMillis;
     private final NodeRecordOrder order = new NodeRecordOrder();
@@ -71,13 +72,19 @@
      * @param onChanged called on the control thread after rows have changed
      */
     public NodeDirectory(
-            ControlEventLoop control, EventLog log, TableStore store, String ownId, Random random, Runnable onChanged) {
+            ControlEventLoop control,
+            EventLog log,
+            MonitoredTableStore store,
+            String ownId,
+            Random random,
+            Runnable onChanged) {
         this.control = control;
         this.log = log;
         this.store = store;
         this.ownId = ownId;
         this.onChanged = onChanged;
-        watch = new TableWatch(control, log, store, TABLE, this::changePauseMillis, random, this::applyChanges);
+        TableWatch.Pacing pacing = new TableWatch.Pacing(this::changePauseMillis, () -> TableWatch.Pacing.NEVER);
+        watch = new TableWatch(control, log, store, TABLE, pacing, random, this::applyChanges);
     }
 
     /** Starts to read the table and to follow its changes. */
@@ -179,20 +186,15 @@
             return;
         }
         writeInProgress = true;
-        store.write(
-                TABLE,
-                ownId,
-                encode(self, ownSequence).toByteArray(),
-                ownRowVersion,
-                result -> control.execute(() -> {
-                    writeInProgress = false;
-                    if (result.isRight()) {
-                        ownRowVersion = Math.max(ownRowVersion, result.get());
-                        onStored.run();
-                        return;
-                    }
-                    handleWriteFailure(self, onStored, result.getLeft());
-                }));
+        store.write(TABLE, ownId, encode(self, ownSequence).toByteArray(), ownRowVersion, result -> {
+            writeInProgress = false;
+            if (result.isRight()) {
+                recordOwnRow(result.get());
+                onStored.run();
+                return;
+            }
+            handleWriteFailure(self, onStored, result.getLeft());
+        });
     }
 
     private void handleWriteFailure(KnownNode self, Runnable onStored, TableFailure failure) {
@@ -200,23 +202,24 @@
                 .with("table", TABLE)
                 .with("kind", failure.kind().name())
                 .with("cause", failure.detail())
-                .with("expectedVersion", ownRowVersion)
+                .with("expectedVersion", ownRowVersion.number())
                 .write();
         control.after(WRITE_RETRY_MILLIS, () -> write(self, onStored));
         if (failure.kind() == TableFailure.Kind.CONFLICT) {
             // The stored row has another version than expected: read that version for the next try.
             store.read(
                     TABLE,
-                    rows -> rows.forEach(snapshot -> control.execute(() -> snapshot.rows().stream()
+                    result -> result.forEach(snapshot -> snapshot.rows().stream()
                             .filter(row -> row.key().equals(ownId))
-                            .forEach(row -> ownRowVersion = Math.max(ownRowVersion, row.version())))));
+                            .forEach(row -> recordOwnRow(
+                                    new TableVersion(snapshot.version().era(), row.version())))));
         }
     }
 
     private void applyChanges(List<Row> changed) {
         changed.forEach(row -> {
             if (row.key().equals(ownId)) {
-                ownRowVersion = Math.max(ownRowVersion, row.version());
+                recordOwnRow(new TableVersion(watch.version().era(), row.version()));
                 restoreOwnNode(row);
             } else if (row.removed()) {
                 nodes.remove(row.key());
@@ -231,6 +234,12 @@
         onChanged.run();
     }
 
+    private void recordOwnRow(TableVersion stored) {
+        if (stored.compareTo(ownRowVersion) > 0) {
+            ownRowVersion = stored;
+        }
+    }
+
     // After the first read the table can only be behind what this process knows about its own node.
     private void restoreOwnNode(Row row) {
         if (firstReadDone || row.removed()) {
--- a/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
@@ -26,6 +26,7 @@
 import org.sardineshunt.engine.http.HttpHeader;
 import org.sardineshunt.engine.http.HttpOutcome;
 import org.sardineshunt.engine.http.HttpRequestData;
+import org.sardineshunt.engine.platform.MonitoredTableStore;
 import org.sardineshunt.engine.protocol.EngineMessages.NodeRecord;
 
 /** Several engines in one process, each with a fake local upstream of the same service. Not thread-safe. */
@@ -111,7 +112,9 @@
 
     private Engine startEngine(int index, int peerPort) {
         Engine engine = createEngine(index, peerPort);
-        int port = engine.start(table, configurations);
+        EventLog log = new EventLog("node-" + index, logLines::add);
+        int port =
+                engine.start(new MonitoredTableStore(engine.control(), engine.control(), log, table), configurations);
         if (index < callerPorts.size()) {
             callerPorts.set(index, port);
         } else {
--- a/engine/src/test/java/org/sardineshunt/engine/FakeTable.java
+++ b/engine/src/test/java/org/sardineshunt/engine/FakeTable.java
@@ -8,12 +8,14 @@
 
 import io.vavr.control.Either;
 import org.sardineshunt.engine.platform.TableStore;
+import org.sardineshunt.engine.platform.TableVersion;
 
 /** A table store in memory that can fail on demand. Thread-safe. */
 public final class FakeTable implements TableStore {
     private final Map<String, Map<String, Row>> tables = new LinkedHashMap<>();
     private final List<PendingWatch> pendingWatches = new ArrayList<>();
     private long version;
+    private long era;
     private long historyStartVersion;
     private boolean down;
     private boolean losingResponses;
@@ -49,7 +51,7 @@
                 .filter(watch -> watch.table().equals(table))
                 .toList();
         pendingWatches.removeAll(notified);
-        notified.forEach(watch -> watch.onResult().accept(Either.right(new TableRows(List.of(row), version))));
+        notified.forEach(watch -> watch.onResult().accept(Either.right(new TableRows(List.of(row), tableVersion()))));
     }
 
     /** Returns the value of a row, or null if it does not exist. */
@@ -63,28 +65,30 @@
         onResult.accept(
                 down
                         ? unavailable()
-                        : Either.right(new TableRows(List.copyOf(rows(table).values()), version)));
+                        : Either.right(new TableRows(List.copyOf(rows(table).values()), tableVersion())));
     }
 
     @Override
-    public synchronized void awaitChanges(
-            String table, long afterVersion, long waitMillis, Consumer<Either<TableFailure, TableRows>> onResult) {
+    public synchronized Runnable awaitChanges(
+            String table, TableVersion after, long waitMillis, Consumer<Either<TableFailure, TableRows>> onResult) {
+        PendingWatch watch = new PendingWatch(table, onResult);
+        List<Row> changed = rows(table).values().stream()
+                .filter(row -> row.version() > after.number())
+                .toList();
         if (down) {
             onResult.accept(unavailable());
-            return;
-        }
-        if (afterVersion < historyStartVersion) {
+        } else if (after.number() < historyStartVersion || after.number() > version) {
             onResult.accept(historyLost());
-            return;
-        }
-        List<Row> changed = rows(table).values().stream()
-                .filter(row -> row.version() > afterVersion)
-                .toList();
-        if (changed.isEmpty()) {
-            pendingWatches.add(new PendingWatch(table, onResult));
+        } else if (changed.isEmpty() && waitMillis > 0) {
+            pendingWatches.add(watch);
         } else {
-            onResult.accept(Either.right(new TableRows(changed, version)));
+            onResult.accept(Either.right(new TableRows(changed, tableVersion())));
         }
+        return () -> cancel(watch);
+    }
+
+    private synchronized void cancel(PendingWatch watch) {
+        pendingWatches.remove(watch);
     }
 
     @Override
@@ -92,15 +96,15 @@
             String table,
             String key,
             byte[] value,
-            long expectedVersion,
-            Consumer<Either<TableFailure, Long>> onResult) {
+            TableVersion expected,
+            Consumer<Either<TableFailure, TableVersion>> onResult) {
         if (down) {
             onResult.accept(Either.left(new TableFailure(TableFailure.Kind.UNAVAILABLE, "down")));
             return;
         }
         Row current = rows(table).get(key);
         long currentVersion = current == null ? 0 : current.version();
-        if (currentVersion != expectedVersion) {
+        if (currentVersion != expected.number()) {
             onResult.accept(Either.left(new TableFailure(TableFailure.Kind.CONFLICT, "version " + currentVersion)));
             return;
         }
@@ -108,7 +112,11 @@
         onResult.accept(
                 losingResponses
                         ? Either.left(new TableFailure(TableFailure.Kind.UNAVAILABLE, "response lost"))
-                        : Either.right(version));
+                        : Either.right(tableVersion()));
+    }
+
+    private TableVersion tableVersion() {
+        return new TableVersion(era, version);
     }
 
     private Map<String, Row> rows(String table) {
--- a/engine/src/test/java/org/sardineshunt/engine/platform/TableWatchTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/platform/TableWatchTest.java
@@ -66,7 +66,14 @@
     }
 
     private TableWatch watch(TableStore store, Consumer<List<Row>> receiver) {
-        return new TableWatch(control, log, store, "table", () -> 0, new Random(1), receiver);
+        return new TableWatch(
+                control,
+                log,
+                new MonitoredTableStore(control, control, log, store),
+                "table",
+                new TableWatch.Pacing(() -> 0, () -> TableWatch.Pacing.NEVER),
+                new Random(1),
+                receiver);
     }
 
     private static Row row(String key, long version) {
@@ -77,13 +84,14 @@
     private record ScriptedStore(List<Row> rows, CompletableFuture<Long> asked) implements TableStore {
         @Override
         public void read(String table, Consumer<Either<TableFailure, TableRows>> onResult) {
-            onResult.accept(Either.right(new TableRows(new ArrayList<>(rows), 7)));
+            onResult.accept(Either.right(new TableRows(new ArrayList<>(rows), new TableVersion(0, 7))));
         }
 
         @Override
-        public void awaitChanges(
-                String table, long afterVersion, long waitMillis, Consumer<Either<TableFailure, TableRows>> onResult) {
-            asked.complete(afterVersion);
+        public Runnable awaitChanges(
+                String table, TableVersion after, long waitMillis, Consumer<Either<TableFailure, TableRows>> onResult) {
+            asked.complete(after.number());
+            return () -> {};
         }
 
         @Override
@@ -91,8 +99,8 @@
                 String table,
                 String key,
                 byte[] value,
-                long expectedVersion,
-                Consumer<Either<TableFailure, Long>> onResult) {
+                TableVersion expected,
+                Consumer<Either<TableFailure, TableVersion>> onResult) {
             throw new UnsupportedOperationException("the watch doesn't write");
         }
     }
