Read the tables again when the store is back from an older copy

A configuration that got the version which another one had had was never in force: 30 s after its acknowledgement all requests were still run by the old service.

Cause: a watch asked for changes after the highest number that it had seen. The store had given that number out again by then, so it neither refused the question nor had anything newer. Nothing read the era that the store states in each response; and where the store did refuse, the watch kept the old number even after it had read the whole table, and asked again without a pause.

Rows are compared by content, since the same number may name other content. Rows that the first read of an era lacks count as lost, not as removed.

--- a/engine/src/main/java/org/sardineshunt/engine/platform/TableCopy.java
+++ b/engine/src/main/java/org/sardineshunt/engine/platform/TableCopy.java
@@ -1,9 +1,11 @@
 package org.sardineshunt.engine.platform;
 
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -25,9 +27,19 @@
         return Optional.ofNullable(rows.get(key));
     }
 
-    /** Replaces all rows; returns those that are new, changed or removed. */
+    /**
+     * Replaces all rows; returns those that are new, changed or removed. Rows that the first snapshot of an era lacks weren't
+     * removed: the store has lost them, and their writers write them again.
+     */
     List<Row> replace(TableRows snapshot) {
-        List<Row> changed = changedRows(snapshot.rows());
+        boolean sameEra = snapshot.version().era() == version.era();
+        List<Row> changed = Stream.concat(
+                        newOrChangedRows(snapshot.rows()), sameEra ? removedRows(snapshot.rows()) : Stream.empty())
+                .toList();
+        if (!sameEra) {
+            rows.clear();
+            snapshot.rows().forEach(row -> rows.put(row.key(), row));
+        }
         apply(new TableRows(changed, snapshot.version()));
         return changed;
     }
@@ -44,17 +56,18 @@
         version = changes.version();
     }
 
-    private List<Row> changedRows(List<Row> read) {
-        Map<String, Row> byKey =
-                read.stream().collect(Collectors.toMap(Row::key, row -> row, (earlier, later) -> later));
-        return Stream.concat(
-                        read.stream().filter(row -> {
-                            Row known = rows.get(row.key());
-                            return known == null || known.version() != row.version();
-                        }),
-                        rows.values().stream()
-                                .filter(row -> !byKey.containsKey(row.key()))
-                                .map(row -> new Row(row.key(), new byte[0], row.version(), true)))
-                .toList();
+    // Versions of an earlier era are given out again, so a row with the same one may have other content.
+    private Stream<Row> newOrChangedRows(List<Row> read) {
+        return read.stream().filter(row -> {
+            Row known = rows.get(row.key());
+            return known == null || known.version() != row.version() || !Arrays.equals(known.value(), row.value());
+        });
+    }
+
+    private Stream<Row> removedRows(List<Row> read) {
+        Set<String> keys = read.stream().map(Row::key).collect(Collectors.toSet());
+        return rows.values().stream()
+                .filter(row -> !keys.contains(row.key()))
+                .map(row -> new Row(row.key(), new byte[0], row.version(), true));
     }
 }
--- a/engine/src/main/java/org/sardineshunt/engine/platform/TableWatch.java
+++ b/engine/src/main/java/org/sardineshunt/engine/platform/TableWatch.java
@@ -84,6 +84,7 @@
 
     /** Reads the table and follows its changes until the process ends. */
     public void start() {
+        store.onEraChange(this::readAll);
         store.onSilenceEnd(this::renew);
         readAll();
         scheduleCheck();
@@ -196,10 +197,11 @@
             after(nextDelayMillis(result.getLeft()), this::readAll);
             return;
         }
-        boolean first = !loaded;
+        boolean firstOfEra =
+                !loaded || copy.version().era() != result.get().version().era();
         loaded = true;
         reading = false;
-        follow(copy.replace(result.get()), first);
+        follow(copy.replace(result.get()), firstOfEra);
     }
 
     private void handleWaitResult(Either<TableFailure, TableRows> result) {
--- a/engine/src/test/java/org/sardineshunt/engine/platform/PlayedStore.java
+++ b/engine/src/test/java/org/sardineshunt/engine/platform/PlayedStore.java
@@ -64,13 +64,18 @@
         return new Copy(new TreeMap<>(rows), version);
     }
 
-    /** Comes back from a copy, in the next era; calls that wait are reset. */
+    /** Comes back from a copy, in the next era; calls that wait get no response. */
     void comeBack(Copy copy) {
         rows = new TreeMap<>(copy.rows());
         version = copy.version();
         historyStartVersion = version;
-        era++;
-        clients.forEach(Client::reset);
+        era += era == 0 ? 0 : 1;
+        clients.forEach(Client::loseWaitingCalls);
+    }
+
+    /** States no era from now on. */
+    void stateNoEra() {
+        era = 0;
     }
 
     /** Rows and version at one moment. */
@@ -126,7 +131,11 @@
                     return;
                 }
                 waitingCalls.add(call);
-                timers.after(waitMillis, call::respondNow);
+                timers.after(waitMillis, () -> {
+                    if (waitingCalls.contains(call)) {
+                        call.respondNow();
+                    }
+                });
             });
             return () -> call.ended |= !ignoringCancellation;
         }
@@ -165,6 +174,10 @@
             due.forEach(Call::respondNow);
         }
 
+        private void loseWaitingCalls() {
+            waitingCalls.clear();
+        }
+
         private void reset() {
             List<Call<?>> reset = List.copyOf(waitingCalls);
             waitingCalls.clear();
