Write this node's row again when the store is back from an older copy

The store came back from a copy in which the row said ready. After a planned stop and start of the node 156 to 182 requests reached the upstream later than drain_ms after the acknowledgement, and the last ones were lost when it exited.

Cause: three parts took "the table has it" for a fact beyond the era in which it was seen. No node wrote its row again after the return, and later writes failed, because the expected version, kept by a maximum, lay above what the store had. DepartureRegistry forgot a departure as soon as the table had shown it, so that other nodes told the next process of none. AnnouncementAcknowledger counted the departure as stored, so a planned stop didn't wait for it.

Change: StoreRecovery acts on each new era: what was stored counts as not stored, and the row is written again, at once for an upstream that takes no new work, otherwise spread over 6 ms a node. OwnRowWriter, split from NodeDirectory, takes the version of the row anew from the first read of the era, also of a row that is missing. DepartureRegistry keeps the latest departure of each node's upstream, also from records of nodes, so that it outlives a process that is killed before it has written its row again.

Test replaced: DepartureRegistryTest.keepsADepartureUntilTheTableHasIt and removesTheDepartureOfAnEarlierStart demanded that a departure be forgotten on the strength of the table, which is this fault. Those in their place demand that it is kept whatever the table shows, and until which departure.

The engines of EngineFleet now follow a configuration table, too, as the deployed program does.

--- a/coordination/src/main/java/org/sardineshunt/coordination/announcement/DepartureRegistry.java
+++ b/coordination/src/main/java/org/sardineshunt/coordination/announcement/DepartureRegistry.java
@@ -4,25 +4,25 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.sardineshunt.coordination.announcement.Announcement.Phase;
+
 /**
- * The departures of other nodes' upstreams that are not in the table yet. A departure is kept until the table has the
- * same or a later state of that upstream, however long that takes. Not thread-safe.
+ * The latest departure of each other node's upstream, as that node or the table has stated it. Departures are kept even if
+ * the table has them, because it may come back from an older copy, and after a later start of the upstream, whose row may be
+ * lost in the same way: that start supersedes the departure wherever it is known. One entry for each node. Not thread-safe.
  */
 public final class DepartureRegistry {
     private final Map<String, Announcement> departures = new HashMap<>();
 
-    /** Records the departure of a node's upstream, unless a later state of it is known. */
-    public void record(String nodeId, Announcement departure) {
-        departures.merge(nodeId, departure, (known, added) -> known.supersedes(added) ? known : added);
+    /** Records a state of a node's upstream if it is a departure, unless a later state of that start or a later one is known. */
+    public void record(String nodeId, Announcement state) {
+        if (state.phase() != Phase.READY) {
+            departures.merge(nodeId, state, (known, added) -> known.supersedes(added) ? known : added);
+        }
     }
 
-    /** Returns the departure of a node's upstream that the table doesn't have yet, if there is one. */
+    /** Returns the latest departure of a node's upstream, if there was one. */
     public Optional<Announcement> find(String nodeId) {
         return Optional.ofNullable(departures.get(nodeId));
     }
-
-    /** Records which announcement of a node's upstream the table has. */
-    public void recordStored(String nodeId, Announcement stored) {
-        departures.computeIfPresent(nodeId, (id, known) -> stored.supersedes(known) ? null : known);
-    }
 }
--- a/engine/src/main/java/org/sardineshunt/engine/AnnouncementAcknowledger.java
+++ b/engine/src/main/java/org/sardineshunt/engine/AnnouncementAcknowledger.java
@@ -79,6 +79,11 @@
         acknowledgeDurable();
     }
 
+    /** Forgets what the table has, because it has come back from an older copy. */
+    void forgetStored() {
+        stored = Optional.empty();
+    }
+
     /** Returns whether the table lacks a departure of the upstream. */
     boolean isUnstoredDeparture(Announcement current) {
         return current.phase() != Phase.READY && !isCovered(stored, current);
--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -220,6 +220,8 @@
                         departures));
         ownAddress = new PeerAddress(settings.nodeId(), settings.peerAddress().getHostString(), peerPort);
         int callerPort = callerServer.listen(trafficGroup, settings.callerAddress());
+        StoreRecovery recovery = new StoreRecovery(control, random, directory, home, acknowledger);
+        control.execute(() -> recovery.start(store));
         control.execute(directory::start);
         control.execute(accountTokens::start);
         started = true;
@@ -405,7 +407,9 @@
         });
         accountTokens.handleDirectoryChange();
         network.forgetLostNodesExcept(directory.nodes().map(KnownNode::address).collect(Collectors.toSet()));
-        directory.storedUpstreams().forEach(departures::recordStored);
+        directory.storedUpstreams().forEach(departures::record);
+        directory.nodes().forEach(node -> node.upstream()
+                .ifPresent(upstream -> departures.record(node.address().nodeId(), upstream)));
         if (!directory.isLoaded()) {
             // Records of other nodes may arrive before the table is read.
             if (directory.ownRecord().isEmpty()) {
--- a/engine/src/main/java/org/sardineshunt/engine/peer/NodeDirectory.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/NodeDirectory.java
@@ -19,8 +19,6 @@
 import org.sardineshunt.engine.EventLog;
 import org.sardineshunt.engine.platform.MonitoredTableStore;
 import org.sardineshunt.engine.platform.TableStore.Row;
-import org.sardineshunt.engine.platform.TableStore.TableFailure;
-import org.sardineshunt.engine.platform.TableVersion;
 import org.sardineshunt.engine.platform.TableWatch;
 import org.sardineshunt.engine.protocol.EngineMessages.NodeRecord;
 
@@ -43,14 +41,13 @@
 
     // Records of many nodes arrive together when a fleet starts.
     private static final long UPDATE_DELAY_MILLIS = 10;
-    private static final long WRITE_RETRY_MILLIS = 400;
 
     private final ControlEventLoop control;
     private final EventLog log;
-    private final MonitoredTableStore store;
     private final String ownId;
     private final Runnable onChanged;
     private final TableWatch watch;
+    private final OwnRowWriter ownRow;
     private final Map<String, KnownNode> nodes = new HashMap<>();
     private final Map<String, Announcement> storedUpstreams = new HashMap<>();
     private List<KnownNode> currentNodes = List.of();
@@ -58,9 +55,7 @@
     private KnownNode ownNode;
     private KnownNode storedOwnNode;
     private boolean firstReadDone;
-    private boolean writeInProgress;
     private boolean updateScheduled;
-    private TableVersion ownRowVersion = TableVersion.NONE;
     private long ownSequence;
     private long startedMillis;
     private final NodeRecordOrder order = new NodeRecordOrder();
@@ -80,11 +75,11 @@
             Runnable onChanged) {
         this.control = control;
         this.log = log;
-        this.store = store;
         this.ownId = ownId;
         this.onChanged = onChanged;
         TableWatch.Pacing pacing = new TableWatch.Pacing(this::changePauseMillis, () -> TableWatch.Pacing.NEVER);
         watch = new TableWatch(control, log, store, TABLE, pacing, random, this::applyChanges);
+        ownRow = new OwnRowWriter(control, log, store, watch, TABLE, ownId);
     }
 
     /** Starts to read the table and to follow its changes. */
@@ -135,7 +130,15 @@
      */
     public void publish(KnownNode self, Runnable onStored) {
         setOwnNode(self);
-        write(self, onStored);
+        ownRow.write(encode(self, ownSequence).toByteArray(), onStored);
+    }
+
+    /**
+     * Writes the row again that was last stored, if the table has come back from an older copy since. Rows that are not stored
+     * yet are written anyway. The callback of {@link #publish} is called again.
+     */
+    public void publishAgain() {
+        ownRow.writeAgain();
     }
 
     /** Replaces the record of this node for other nodes, without writing its row. */
@@ -177,49 +180,11 @@
         }
     }
 
-    private void write(KnownNode self, Runnable onStored) {
-        if (ownNode != self) {
-            return;
-        }
-        if (writeInProgress || !watch.isLoaded()) {
-            control.after(WRITE_RETRY_MILLIS / 4, () -> write(self, onStored));
-            return;
-        }
-        writeInProgress = true;
-        store.write(TABLE, ownId, encode(self, ownSequence).toByteArray(), ownRowVersion, result -> {
-            writeInProgress = false;
-            if (result.isRight()) {
-                recordOwnRow(result.get());
-                onStored.run();
-                return;
-            }
-            handleWriteFailure(self, onStored, result.getLeft());
-        });
-    }
-
-    private void handleWriteFailure(KnownNode self, Runnable onStored, TableFailure failure) {
-        log.event("row-write-failed")
-                .with("table", TABLE)
-                .with("kind", failure.kind().name())
-                .with("cause", failure.detail())
-                .with("expectedVersion", ownRowVersion.number())
-                .write();
-        control.after(WRITE_RETRY_MILLIS, () -> write(self, onStored));
-        if (failure.kind() == TableFailure.Kind.CONFLICT) {
-            // The stored row has another version than expected: read that version for the next try.
-            store.read(
-                    TABLE,
-                    result -> result.forEach(snapshot -> snapshot.rows().stream()
-                            .filter(row -> row.key().equals(ownId))
-                            .forEach(row -> recordOwnRow(
-                                    new TableVersion(snapshot.version().era(), row.version())))));
-        }
-    }
-
     private void applyChanges(List<Row> changed) {
+        ownRow.recordEra();
         changed.forEach(row -> {
             if (row.key().equals(ownId)) {
-                recordOwnRow(new TableVersion(watch.version().era(), row.version()));
+                ownRow.recordChange(row);
                 restoreOwnNode(row);
             } else if (row.removed()) {
                 nodes.remove(row.key());
@@ -234,12 +199,6 @@
         onChanged.run();
     }
 
-    private void recordOwnRow(TableVersion stored) {
-        if (stored.compareTo(ownRowVersion) > 0) {
-            ownRowVersion = stored;
-        }
-    }
-
     // After the first read the table can only be behind what this process knows about its own node.
     private void restoreOwnNode(Row row) {
         if (firstReadDone || row.removed()) {
--- a/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineFleet.java
@@ -112,9 +112,10 @@
 
     private Engine startEngine(int index, int peerPort) {
         Engine engine = createEngine(index, peerPort);
-        EventLog log = new EventLog("node-" + index, logLines::add);
-        int port =
-                engine.start(new MonitoredTableStore(engine.control(), engine.control(), log, table), configurations);
+        MonitoredTableStore store = new MonitoredTableStore(
+                engine.control(), engine.control(), new EventLog("node-" + index, logLines::add), table);
+        int port = engine.start(store, configurations);
+        engine.watchConfiguration(store, "configuration", () -> 0, rows -> {});
         if (index < callerPorts.size()) {
             callerPorts.set(index, port);
         } else {
--- a/engine/src/test/java/org/sardineshunt/engine/FakeTable.java
+++ b/engine/src/test/java/org/sardineshunt/engine/FakeTable.java
@@ -12,10 +12,10 @@
 
 /** A table store in memory that can fail on demand. Thread-safe. */
 public final class FakeTable implements TableStore {
-    private final Map<String, Map<String, Row>> tables = new LinkedHashMap<>();
+    private Map<String, Map<String, Row>> tables = new LinkedHashMap<>();
     private final List<PendingWatch> pendingWatches = new ArrayList<>();
     private long version;
-    private long era;
+    private long era = 1;
     private long historyStartVersion;
     private boolean down;
     private boolean losingResponses;
@@ -43,6 +43,35 @@
         interrupted.forEach(watch -> watch.onResult().accept(historyLost()));
     }
 
+    /** Returns a copy of all tables. */
+    public synchronized Copy copy() {
+        return new Copy(copyOf(tables), version);
+    }
+
+    /** Comes back from a copy, in the next era, in which versions are given out again; waiting calls fail. */
+    public synchronized void comeBack(Copy copy) {
+        tables = copyOf(copy.tables());
+        version = copy.version();
+        historyStartVersion = version;
+        era++;
+        setDown(true);
+        setDown(false);
+    }
+
+    private static Map<String, Map<String, Row>> copyOf(Map<String, Map<String, Row>> tables) {
+        Map<String, Map<String, Row>> copies = new LinkedHashMap<>();
+        tables.forEach((table, rows) -> copies.put(table, new LinkedHashMap<>(rows)));
+        return copies;
+    }
+
+    /**
+     * All tables at one moment.
+     *
+     * @param tables rows by table and key
+     * @param version version of the last change
+     */
+    public record Copy(Map<String, Map<String, Row>> tables, long version) {}
+
     /** Writes a row without a version check, as if by another writer. */
     public synchronized void put(String table, String key, byte[] value) {
         Row row = new Row(key, value, ++version, false);
