--- a/engine/src/main/java/org/sardineshunt/engine/platform/TableWatch.java
+++ b/engine/src/main/java/org/sardineshunt/engine/platform/TableWatch.java
@@ -80,6 +80,7 @@
         this.pacing = pacing;
         this.random = random;
         this.onChanged = onChanged;
+        updatedAtMillis = timers.nowMillis();
     }
 
     /** Reads the table and follows its changes until the process ends. */
@@ -100,11 +101,6 @@
         return copy.version();
     }
 
-    /** Returns the milliseconds since the last successful call, also one that brought no changes. */
-    public long millisSinceUpdate() {
-        return timers.nowMillis() - updatedAtMillis;
-    }
-
     /** Returns the row with the given key, if it exists. */
     public Optional<Row> row(String key) {
         return copy.row(key);
@@ -290,13 +286,18 @@
         updatedAtMillis = timers.nowMillis();
     }
 
+    // Since the last successful call, also one that brought no changes.
+    private long ageMillis() {
+        return timers.nowMillis() - updatedAtMillis;
+    }
+
     private void recordFailure(TableFailure failure) {
         if (reachable && failure.kind() != Kind.HISTORY_LOST) {
             reachable = false;
             log.event("table-lost")
                     .with("table", table)
                     .with("version", copy.version().number())
-                    .with("ageMillis", millisSinceUpdate())
+                    .with("ageMillis", ageMillis())
                     .with("cause", failure.detail())
                     .write();
         }
@@ -324,7 +325,7 @@
             log.event("table-regained")
                     .with("table", table)
                     .with("version", copy.version().number())
-                    .with("ageMillis", millisSinceUpdate())
+                    .with("ageMillis", ageMillis())
                     .write();
         }
     }
