Take no state of a table from a read that is behind what is known

Results of calls for changes never lower the version.

Tests: TableWatchEraTest.waitsForAReadThatIsNotBehindWhatItKnows, which fails if no read counts as behind; followsATableWhoseVersionsWentBackWithoutAnEra now allows for the repeated reads, and still demands that the table is followed in the end.

--- a/engine/src/main/java/org/sardineshunt/engine/platform/TableCopy.java
+++ b/engine/src/main/java/org/sardineshunt/engine/platform/TableCopy.java
@@ -27,6 +27,11 @@
         return Optional.ofNullable(rows.get(key));
     }
 
+    /** Returns whether a snapshot is older than this copy, as reads of a store may be that is behind. */
+    boolean isNewerThan(TableRows snapshot) {
+        return snapshot.version().era() == version.era() && snapshot.version().number() < version.number();
+    }
+
     /**
      * Replaces all rows; returns those that are new, changed or removed. Rows that the first snapshot of an era lacks weren't
      * removed: the store has lost them, and their writers write them again.
@@ -40,20 +45,27 @@
             rows.clear();
             snapshot.rows().forEach(row -> rows.put(row.key(), row));
         }
-        apply(new TableRows(changed, snapshot.version()));
+        applyRows(changed);
+        version = snapshot.version();
         return changed;
     }
 
     /** Applies changes that follow the version of this copy. */
     void apply(TableRows changes) {
-        changes.rows().forEach(row -> {
+        applyRows(changes.rows());
+        if (changes.version().compareTo(version) > 0) {
+            version = changes.version();
+        }
+    }
+
+    private void applyRows(List<Row> changed) {
+        changed.forEach(row -> {
             if (row.removed()) {
                 rows.remove(row.key());
             } else {
                 rows.put(row.key(), row);
             }
         });
-        version = changes.version();
     }
 
     // Versions of an earlier era are given out again, so a row with the same one may have other content.
--- a/engine/src/main/java/org/sardineshunt/engine/platform/TableWatch.java
+++ b/engine/src/main/java/org/sardineshunt/engine/platform/TableWatch.java
@@ -29,6 +29,10 @@
     // Time in which the waiting call should show a change that is known from elsewhere.
     private static final long EXPECTED_CHANGE_MILLIS = 500;
 
+    // Reads that are behind are repeated this often, with pauses of a second. Then the store has gone back without
+    // stating so.
+    private static final int MAXIMUM_STALE_READS = 10;
+
     // The delay of a check depends on the fleet, which may change meanwhile.
     private static final long MAXIMUM_CHECK_DELAY_MILLIS = 5_000;
 
@@ -46,6 +50,7 @@
     private boolean reading;
     private boolean reachable = true;
     private boolean historyLost;
+    private int staleReads;
     private long retryDelayMillis = FIRST_RETRY_DELAY_MILLIS;
     private long updatedAtMillis;
     private long changedAtMillis;
@@ -193,6 +198,12 @@
             after(nextDelayMillis(result.getLeft()), this::readAll);
             return;
         }
+        if (copy.isNewerThan(result.get()) && staleReads < MAXIMUM_STALE_READS) {
+            staleReads++;
+            after(jitter(MAXIMUM_RETRY_DELAY_MILLIS), this::readAll);
+            return;
+        }
+        staleReads = 0;
         boolean firstOfEra =
                 !loaded || copy.version().era() != result.get().version().era();
         loaded = true;
