Write a row again whose removal was the last change of the table

A node that has seen the removal expects exactly its version, so if nothing else changed the table it would have failed for good. Equal versions now count, too: a row that was written in that version would be in the read.

Test: EngineStoreRecoveryTest.storesALaterDepartureAfterItsRowWasRemoved.

--- a/engine/src/main/java/org/sardineshunt/engine/peer/OwnRowWriter.java
+++ b/engine/src/main/java/org/sardineshunt/engine/peer/OwnRowWriter.java
@@ -131,8 +131,8 @@
                 .filter(read -> read.key().equals(ownId))
                 .findFirst();
         TableVersion inSnapshot = rowVersion(snapshot.version().era(), row);
-        if (row.isEmpty() && snapshot.version().compareTo(rowVersion) > 0) {
-            // Removed, as it was not written after the snapshot.
+        if (row.isEmpty() && snapshot.version().compareTo(rowVersion) >= 0) {
+            // Removed, because it was not written after the snapshot.
             rowVersion = inSnapshot;
         } else {
             recordVersion(inSnapshot);
--- a/engine/src/test/java/org/sardineshunt/engine/EngineStoreRecoveryTest.java
+++ b/engine/src/test/java/org/sardineshunt/engine/EngineStoreRecoveryTest.java
@@ -92,6 +92,14 @@
         Await.until("the table has the leave", () -> storedPhase(2) == Phase.LEFT);
     }
 
+    /** Guards against a row that is never written again, because it was removed and its version is still expected. */
+    @Test
+    void storesALaterDepartureAfterItsRowWasRemoved() {
+        fleet.table().remove(NODES_TABLE, "node-2");
+        leaveAndAwaitAcknowledgement(2);
+        Await.until("the table has the leave", () -> storedPhase(2) == Phase.LEFT);
+    }
+
     private boolean noticed(int index) {
         return countLines("store-era-changed", index) > 0;
     }
--- a/engine/src/test/java/org/sardineshunt/engine/FakeTable.java
+++ b/engine/src/test/java/org/sardineshunt/engine/FakeTable.java
@@ -76,6 +76,16 @@
     public synchronized void put(String table, String key, byte[] value) {
         Row row = new Row(key, value, ++version, false);
         rows(table).put(key, row);
+        notifyWatches(table, row);
+    }
+
+    /** Removes a row without a version check, as if by another writer; later watches don't see it as removed. */
+    public synchronized void remove(String table, String key) {
+        rows(table).remove(key);
+        notifyWatches(table, new Row(key, new byte[0], ++version, true));
+    }
+
+    private void notifyWatches(String table, Row row) {
         List<PendingWatch> notified = pendingWatches.stream()
                 .filter(watch -> watch.table().equals(table))
                 .toList();
