Split the delays between tries from the watch of a table

A newcomer has to read the watch as the calls that follow a table; how long a failed call waits is a part of its own.

--- a/engine/src/main/java/org/sardineshunt/engine/platform/TableWatch.java
+++ b/engine/src/main/java/org/sardineshunt/engine/platform/TableWatch.java
@@ -23,8 +23,6 @@
  */
 public final class TableWatch {
     private static final long LONG_POLL_MILLIS = 30_000;
-    private static final long FIRST_RETRY_DELAY_MILLIS = 150;
-    private static final long MAXIMUM_RETRY_DELAY_MILLIS = 1_000;
 
     // Time in which the waiting call should show a change that is known from elsewhere.
     private static final long EXPECTED_CHANGE_MILLIS = 500;
@@ -41,7 +39,7 @@
     private final MonitoredTableStore store;
     private final String table;
     private final Pacing pacing;
-    private final Random random;
+    private final RetryDelay retryDelay;
     private final Consumer<List<Row>> onChanged;
     private final TableCopy copy = new TableCopy();
     private boolean loaded;
@@ -51,7 +49,6 @@
     private boolean reachable = true;
     private boolean historyLost;
     private int staleReads;
-    private long retryDelayMillis = FIRST_RETRY_DELAY_MILLIS;
     private long updatedAtMillis;
     private long changedAtMillis;
 
@@ -83,7 +80,7 @@
         this.store = store;
         this.table = table;
         this.pacing = pacing;
-        this.random = random;
+        retryDelay = new RetryDelay(random);
         this.onChanged = onChanged;
         updatedAtMillis = timers.nowMillis();
     }
@@ -200,7 +197,7 @@
         }
         if (copy.isNewerThan(result.get()) && staleReads < MAXIMUM_STALE_READS) {
             staleReads++;
-            after(jitter(MAXIMUM_RETRY_DELAY_MILLIS), this::readAll);
+            after(retryDelay.longestMillis(), this::readAll);
             return;
         }
         staleReads = 0;
@@ -275,7 +272,7 @@
         if (repeated) {
             reading = true;
             replaceCalls();
-            after(jitter(MAXIMUM_RETRY_DELAY_MILLIS), this::readAll);
+            after(retryDelay.longestMillis(), this::readAll);
         } else {
             readAll();
         }
@@ -316,21 +313,11 @@
 
     // A call without a response has taken its timeout already.
     private long nextDelayMillis(TableFailure failure) {
-        return failure.kind() == Kind.UNANSWERED ? jitter(FIRST_RETRY_DELAY_MILLIS) : nextRetryDelayMillis();
-    }
-
-    private long nextRetryDelayMillis() {
-        long delayMillis = jitter(retryDelayMillis);
-        retryDelayMillis = Math.min(MAXIMUM_RETRY_DELAY_MILLIS, retryDelayMillis * 2);
-        return delayMillis;
-    }
-
-    private long jitter(long millis) {
-        return millis / 2 + (long) (random.nextDouble() * millis);
+        return failure.kind() == Kind.UNANSWERED ? retryDelay.shortestMillis() : retryDelay.nextMillis();
     }
 
     private void markReachable() {
-        retryDelayMillis = FIRST_RETRY_DELAY_MILLIS;
+        retryDelay.reset();
         if (!reachable) {
             reachable = true;
             log.event("table-regained")
