--- a/engine/src/main/java/org/sardineshunt/engine/Engine.java
+++ b/engine/src/main/java/org/sardineshunt/engine/Engine.java
@@ -51,7 +51,7 @@
  *
  * <pre>{@code
  * Engine engine = new Engine(settings, log, metrics);
- * engine.start(store);
+ * engine.start(new MonitoredTableStore(engine.control(), engine.control(), log, store));
  * engine.configure(configuration);
  * engine.announce(announcement, () -> acknowledge());
  * engine.stop().join();
